--- /dev/null
+++ b/meadowcross/app.py
@@ -0,0 +1,148 @@
+"""Wiring and the command line."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+import uuid
+from typing import Any
+
+import meadowcross
+from meadowcross.common import logging as node_logging
+from meadowcross.common.settings import (
+    DEFAULT_OPERATOR_FILE,
+    Operator,
+    Settings,
+    SettingsError,
+    load_operator,
+    load_settings,
+)
+
+
+def parser() -> argparse.ArgumentParser:
+    options = argparse.ArgumentParser(prog="run.py", description="A controller node of meadowcross.")
+    options.add_argument("--config", metavar="FILE", required=True, help="the platform's settings file (TOML)")
+    options.add_argument(
+        "--operator-settings",
+        metavar="FILE",
+        help=f"the operators' own settings (XML); default {DEFAULT_OPERATOR_FILE}, if it exists",
+    )
+    options.add_argument("--check", action="store_true", help="read both settings files, report, and exit")
+    options.add_argument("--version", action="version", version=f"meadowcross {meadowcross.__version__}")
+    return options
+
+
+def main(arguments: list[str]) -> int:
+    options = parser().parse_args(arguments)
+    try:
+        settings = load_settings(options.config)
+        path = options.operator_settings
+        if path is None and os.path.exists(DEFAULT_OPERATOR_FILE):
+            path = DEFAULT_OPERATOR_FILE
+        operator = load_operator(path) if path is not None else Operator()
+    except SettingsError as error:
+        print(f"run.py: {error}", file=sys.stderr)
+        return 2
+    if options.check:
+        print(f"{options.config}: good, node {settings.host_name}")
+        print(f"{path}: good" if path else "no operators' settings: defaults apply")
+        return 0
+    node_logging.set_up(settings.host_name)
+    # Only now: --help and --check need no reactor, and a start's cost is counted.
+    from twisted.internet import reactor
+
+    Node(reactor, settings, operator).start()
+    reactor.run()  # type: ignore[attr-defined]
+    return 0
+
+
+class Node:
+    """One controller: all slices, wired together."""
+
+    def __init__(self, reactor: Any, settings: Settings, operator: Operator) -> None:
+        from meadowcross.common.http import HttpClient, Router
+        from meadowcross.common.types import Address, JobId, NodeName, Token
+        from meadowcross.fleet.catalog import Catalog
+        from meadowcross.fleet.cloud import Cloud
+        from meadowcross.jobs.api import JobApi
+        from meadowcross.leadership.election import Election
+        from meadowcross.leadership.messages import Beat
+        from meadowcross.leadership.peerlink import PeerLink
+        from meadowcross.leadership.term import Term
+        from meadowcross.store.client import SHARE_OF_LEADER, SHARE_OF_OTHERS, StoreClient
+        from meadowcross.workers.api import WorkerApi
+
+        self._reactor = reactor
+        self._settings = settings
+        node = NodeName(settings.host_name)
+        facts = settings.facts
+        http = HttpClient(reactor)
+        self.store = StoreClient(reactor, http, Address(settings.outside.state), facts.state)
+        cloud = Cloud(reactor, http, Address(settings.outside.cloud), facts.cloud)
+        self.catalog = Catalog(reactor, cloud, self.store)
+        self.term: Term | None = None
+
+        def begin_term(token: Token) -> Term:
+            self.store.set_share(SHARE_OF_LEADER)
+            term = Term(
+                reactor, settings, operator, self.store, http, cloud, self.catalog.types, token, stand_down
+            )
+            self.term = term
+            term.start()
+            return term
+
+        def stand_down(why: str) -> None:
+            self.store.set_share(SHARE_OF_OTHERS)
+            self.election.stand_down(why)
+
+        def current_term() -> Term | None:
+            return self.term if self.term is not None and not self.term.stopped else None
+
+        def own_progress(job: JobId) -> tuple[int, int] | None:
+            term = current_term()
+            known = term.book.jobs.get(job) if term is not None else None
+            return (known.done_count, known.running_count()) if known is not None else None
+
+        async def progress(job: JobId) -> tuple[int, int] | None:
+            if current_term() is not None:
+                return own_progress(job)
+            leader = self.election.leader
+            return await self.link.ask_progress(leader[0], job) if leader is not None else None
+
+        def leader_name() -> NodeName | None:
+            leader = self.election.leader
+            # Naming ourselves, or nobody, sends the worker on to the next node.
+            return leader[0] if leader is not None and leader[0] != node else None
+
+        def take_report() -> Any:
+            term = current_term()
+            return term.on_report if term is not None else None
+
+        def beat() -> Beat:
+            return Beat(node, self.store.answering(), self.election.token)
+
+        self.election = Election(reactor, self.store, node, uuid.uuid4().hex, operator.hold_s, begin_term)
+        self.link = PeerLink(reactor, node, settings.peers, beat, own_progress)
+        self.router = Router()
+        JobApi(
+            reactor,
+            self.store,
+            facts.teams,
+            facts.zones,
+            self.catalog.types,
+            progress,
+            self.link.peer_has_store,
+        ).routes(self.router)
+        WorkerApi(take_report, leader_name).routes(self.router)
+
+    def start(self) -> None:
+        from twisted.internet.defer import Deferred
+
+        from meadowcross.common.http import api_factory
+
+        host, _, port = self._settings.api_addr.rpartition(":")
+        self._reactor.listenTCP(int(port), api_factory(self.router, self._reactor), interface=host, backlog=512)
+        self.link.start(self._reactor, self._settings.peer_bind)
+        Deferred.fromCoroutine(self.catalog.run())
+        Deferred.fromCoroutine(self.election.run())
--- /dev/null
+++ b/meadowcross/common/__init__.py
@@ -0,0 +1,1 @@
+"""What every slice uses: small types, HTTP, settings, logging."""
--- /dev/null
+++ b/meadowcross/common/http.py
@@ -0,0 +1,228 @@
+"""HTTP on twisted.web: a small server front and a client that knows what was sent."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable, Callable
+from io import BytesIO
+from typing import Any, NamedTuple
+
+from twisted.internet import error as net_error
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.web import http
+from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+
+from meadowcross.common.clock import Clock
+from meadowcross.common.logging import logger
+from meadowcross.common.types import Address
+
+log = logger("common")
+
+MAX_BODY = 64 * 1024
+KEEP_OPEN_S = 90.0
+
+
+class NotSent(Exception):
+    """No connection came about, so the request was certainly not sent."""
+
+
+class Unanswered(Exception):
+    """The request may have been carried out, or may still be."""
+
+
+class Reply(NamedTuple):
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Kept-open connections, one request at a time on each, never retried here."""
+
+    def __init__(self, reactor: Any, per_host: int = 6) -> None:
+        self._clock: Clock = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = per_host
+        self._pool.cachedConnectionTimeout = KEEP_OPEN_S
+        # A repeated request could be carried out twice: whoever asks decides.
+        self._pool.retryAutomatically = False
+        self._reactor = reactor
+        self._agents: dict[float, Agent] = {}
+
+    async def call(
+        self, method: str, address: Address, path: str, body: bytes | None = None, timeout: float = 2.0
+    ) -> Reply:
+        # The connect limit ends before the whole, so that a dead host shows as NotSent.
+        connect = min(1.0, timeout / 2)
+        agent = self._agents.get(connect)
+        if agent is None:
+            agent = self._agents[connect] = Agent(self._reactor, connectTimeout=connect, pool=self._pool)
+        producer = None if body is None else FileBodyProducer(BytesIO(body), cooperator=_Immediate())
+        url = f"http://{address}{path}".encode()
+        request = agent.request(method.encode(), url, Headers({}), producer)
+        request.addTimeout(timeout, self._clock)
+        try:
+            response = await request
+        except (net_error.ConnectError, net_error.ConnectingCancelledError) as error:
+            raise NotSent(f"{address}: {error}") from error
+        except Exception as error:
+            raise Unanswered(f"{address}: {type(error).__name__}") from error
+        content = readBody(response)
+        content.addTimeout(timeout, self._clock)
+        try:
+            return Reply(response.code, await content)
+        except Exception as error:
+            raise Unanswered(f"{address}: {type(error).__name__}") from error
+
+    def close(self) -> Deferred[None]:
+        return self._pool.closeCachedConnections()
+
+
+class _Immediate:
+    """A cooperator that runs small bodies at once, with no timer steps between."""
+
+    def cooperate(self, iterator: Any) -> Any:
+        for _ in iterator:
+            pass
+        return _Done()
+
+
+class _Done:
+    def whenDone(self) -> Deferred[None]:
+        done: Deferred[None] = Deferred()
+        done.callback(None)
+        return done
+
+    def stop(self) -> None:
+        """Nothing is left to stop."""
+
+    pause = resume = stop
+
+
+class Answer(NamedTuple):
+    """What a handler returns; `retry_after` in whole seconds where it applies."""
+
+    status: int
+    body: bytes
+    retry_after: int | None = None
+
+
+Handler = Callable[..., Awaitable[Answer] | Answer]
+
+
+class Route(NamedTuple):
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+    """Called with the request body and the pattern's groups."""
+
+
+def reason(status: int, text: str, retry_after: int | None = None) -> Answer:
+    """A refusal with its one-line JSON reason."""
+    safe = text.replace("\\", "/").replace('"', "'").replace("\n", " ")
+    return Answer(status, b'{"error":"%s"}\n' % safe.encode("utf-8", "replace"), retry_after)
+
+
+class Router:
+    def __init__(self) -> None:
+        self._routes: list[Route] = []
+
+    def add(self, method: str, pattern: str, handler: Handler) -> None:
+        self._routes.append(Route(method, re.compile(pattern), handler))
+
+    def find(self, method: str, path: str) -> tuple[Handler, tuple[str, ...]] | Answer:
+        known = False
+        for route in self._routes:
+            match = route.pattern.fullmatch(path)
+            if match is None:
+                continue
+            known = True
+            if route.method == method:
+                return route.handler, match.groups()
+        if known:
+            return reason(405, f"method {method} is not served here")
+        return reason(404, "no such path")
+
+
+class ApiRequest(http.Request):
+    """One request: looked up in the router, answered by its handler."""
+
+    router: Router
+    too_large = False
+
+    def gotLength(self, length: int | None) -> None:
+        if length is not None and length > MAX_BODY:
+            self.too_large = True
+            self._refuse_body()
+            length = 0
+        super().gotLength(length)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        if self.too_large:
+            return
+        if self.content is not None and self.content.tell() + len(data) > MAX_BODY:
+            self.too_large = True
+            self._refuse_body()
+            return
+        super().handleContentChunk(data)
+
+    def _refuse_body(self) -> None:
+        """Answer before the rest of an oversized body has come, then close."""
+        self.clientproto = b"HTTP/1.1"
+        self.setHeader(b"connection", b"close")
+        self._write(reason(413, f"a body holds at most {MAX_BODY} bytes"))
+        if self.channel is not None:
+            self.channel.loseConnection()
+
+    def process(self) -> None:
+        if self.too_large or self.finished:
+            return
+        path = self.path.decode("utf-8", "replace") if self.path else "/"
+        found = self.router.find(self.method.decode("ascii", "replace"), path)
+        if isinstance(found, Answer):
+            self._write(found)
+            return
+        handler, groups = found
+        assert self.content is not None
+        body = self.content.read()
+        try:
+            result = handler(body, *groups)
+        except Exception:
+            log.exception("handler of %s failed", path)
+            result = reason(500, "internal error", 1)
+        if isinstance(result, Answer):
+            self._write(result)
+        else:
+            work: Deferred[Answer] = Deferred.fromCoroutine(result)  # type: ignore[arg-type]
+            work.addCallbacks(self._write, self._failed)
+
+    def _failed(self, failure: Any) -> None:
+        if not failure.check(CancelledError):
+            log.error("handler of %s failed: %s", self.path, failure.getTraceback())
+        self._write(reason(500, "internal error", 1))
+
+    def _write(self, answer: Answer) -> None:
+        if self.finished or self._disconnected:
+            return
+        self.setResponseCode(answer.status)
+        self.setHeader(b"content-type", b"application/json")
+        self.setHeader(b"content-length", b"%d" % len(answer.body))
+        if answer.retry_after is not None:
+            self.setHeader(b"retry-after", b"%d" % answer.retry_after)
+        self.write(answer.body)
+        self.finish()
+
+
+def api_factory(router: Router, reactor: Any) -> http.HTTPFactory:
+    class RoutedRequest(ApiRequest):
+        pass
+
+    RoutedRequest.router = router
+
+    class Channel(http.HTTPChannel):
+        requestFactory = RoutedRequest
+
+    factory = http.HTTPFactory(timeout=KEEP_OPEN_S, reactor=reactor)
+    factory.protocol = Channel  # type: ignore[assignment]
+    factory.log = lambda request: None  # type: ignore[method-assign]
+    return factory
--- /dev/null
+++ b/meadowcross/common/settings.py
@@ -0,0 +1,196 @@
+"""The platform's settings (TOML) and the operators' own (XML), both checked."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+from msgspec import Meta, Struct
+
+DEFAULT_OPERATOR_FILE = "/etc/meadowcross/operator.xml"
+
+_Positive = Annotated[float, Meta(gt=0)]
+_NotNegative = Annotated[float, Meta(ge=0)]
+_Count = Annotated[int, Meta(ge=1)]
+_Text = Annotated[str, Meta(min_length=1)]
+_HostPort = Annotated[str, Meta(pattern=r"^[^:\s]+:\d{1,5}$")]
+
+
+class SettingsError(Exception):
+    """A settings file that can't be used: file, field and what was expected."""
+
+
+class Peer(Struct, frozen=True):
+    host_name: _Text
+    zone: _Text
+    endpoint: _HostPort
+
+
+class Outside(Struct, frozen=True):
+    cloud: _HostPort
+    state: _HostPort
+
+
+class Team(Struct, frozen=True):
+    name: _Text
+    cpus: _NotNegative = 0.0
+    cpus_max: _NotNegative = 0.0
+    gpus: _NotNegative = 0.0
+    gpus_max: _NotNegative = 0.0
+
+
+class Objective(Struct, frozen=True):
+    """One aim of the users; fields that a kind does not have stay null."""
+
+    kind: _Text
+    job_class: str | None = msgspec.field(name="class", default=None)
+    share: float | None = None
+    times: float | None = None
+    within_s: float | None = None
+
+
+class WorkerFacts(Struct, frozen=True):
+    report_s: _Positive
+    lease_s: _Positive
+    cancel_s: _Positive
+    gang_wait_s: _Positive = 30.0
+    gang_peer_s: _Positive = 5.0
+
+
+class StateFacts(Struct, frozen=True):
+    rps: _Positive
+    write_rps: _Positive
+    value_kb: _Positive
+    txn_ops: _Count
+
+
+class CloudFacts(Struct, frozen=True):
+    rps: _Positive
+    list_lag_s: _NotNegative
+
+
+class MachineLimits(Struct, frozen=True):
+    cpu: _Positive
+    mem_mb: _Positive
+    fd_limit: _Count
+
+
+class Facts(Struct, frozen=True):
+    zones: list[str]
+    workers: WorkerFacts
+    state: StateFacts
+    cloud: CloudFacts
+    initial_size: _Count = 3
+    clock_off_ms: _NotNegative = 0.0
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    machine_limits: MachineLimits | None = None
+
+
+class Settings(Struct, frozen=True):
+    """The file that the platform hands over; unknown fields are ignored."""
+
+    host_name: _Text
+    zone: _Text
+    api_addr: _HostPort
+    peer_bind: _HostPort
+    outside: Outside
+    facts: Facts
+    peers: list[Peer] = []
+
+
+def load_settings(path: str) -> Settings:
+    try:
+        with open(path, "rb") as file:
+            return msgspec.convert(tomllib.load(file), Settings, strict=False)
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+class Bound(NamedTuple):
+    """Unit and bounds of one operator setting, for messages and documentation."""
+
+    unit: str
+    low: float
+    high: float
+    low_excluded: bool = False
+
+
+class Operator(Struct, frozen=True):
+    """Operators' own settings. Defaults are DESIGN's, or ours where it is silent."""
+
+    alpha: float = 0.5
+    beta: float = 0.5
+    gamma: float = 0.5
+    delta: float = 0.5
+    cost_same_machine: float = 0.0
+    cost_same_zone: float = 1.0
+    cost_across_zones: float = 4.0
+    move_period_s: float = 10.0
+    move_usage_percent: float = 85.0
+    move_lead_points: float = 25.0
+    move_age_s: float = 600.0
+    hold_s: float = 3.0
+    idle_keep_s: float = 20.0
+    silent_s: float = 8.0
+
+
+BOUNDS = {
+    "alpha": Bound("weight", 0, 1),
+    "beta": Bound("weight", 0, 1),
+    "gamma": Bound("weight", 0, 1000, True),
+    "delta": Bound("weight", 0, 1000, True),
+    "cost_same_machine": Bound("units", 0, 1000),
+    "cost_same_zone": Bound("units", 0, 1000),
+    "cost_across_zones": Bound("units", 0, 1000),
+    "move_period_s": Bound("seconds", 0.5, 3600),
+    "move_usage_percent": Bound("percent", 0, 100),
+    "move_lead_points": Bound("points", 0, 1000),
+    "move_age_s": Bound("seconds", 0, 86400),
+    "hold_s": Bound("seconds", 0.5, 60),
+    "idle_keep_s": Bound("seconds", 0, 86400),
+    "silent_s": Bound("seconds", 2, 600),
+}
+
+
+def load_operator(path: str) -> Operator:
+    """Read the XML file; refuse what is unknown, out of bounds or declares entities."""
+    # Only here: a node without an operators' file starts without the XML parser.
+    from xml.etree.ElementTree import ParseError
+
+    from defusedxml import DefusedXmlException
+    from defusedxml.ElementTree import parse
+
+    try:
+        root = parse(path, forbid_dtd=True).getroot()
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
+    except ParseError as error:
+        raise SettingsError(f"{path}: not well-formed XML: {error}") from error
+    except DefusedXmlException as error:
+        raise SettingsError(f"{path}: document type and entity declarations are refused: {error}") from error
+    if root.tag != "meadowcross":
+        raise SettingsError(f"{path}: element <{root.tag}>: expected <meadowcross>")
+    values: dict[str, Any] = {}
+    for element in root:
+        name = element.tag.replace("-", "_")
+        bound = BOUNDS.get(name)
+        if bound is None or len(element) or element.attrib:
+            raise SettingsError(f"{path}: element <{element.tag}>: unknown, or not a plain value")
+        if name in values:
+            raise SettingsError(f"{path}: element <{element.tag}>: given twice")
+        expected = f"{bound.unit} {'above' if bound.low_excluded else 'from'} {bound.low:g} to {bound.high:g}"
+        try:
+            value = float(element.text or "")
+        except ValueError:
+            raise SettingsError(f"{path}: element <{element.tag}>: expected {expected}") from None
+        if not bound.low <= value <= bound.high or (bound.low_excluded and value == bound.low):
+            raise SettingsError(f"{path}: element <{element.tag}>: expected {expected}")
+        values[name] = value
+    operator = Operator(**values)
+    if abs(operator.alpha + operator.beta - 1.0) > 1e-9:
+        raise SettingsError(f"{path}: elements <alpha> and <beta>: expected to sum to 1")
+    return operator
--- /dev/null
+++ b/meadowcross/common/types.py
@@ -0,0 +1,56 @@
+"""Ids, versions and times as small types of their own."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, NewType
+
+JobId = NewType("JobId", str)
+MachineId = NewType("MachineId", str)
+NodeName = NewType("NodeName", str)
+Address = NewType("Address", str)
+"""host:port, as the settings and the machine list write it."""
+Token = NewType("Token", int)
+"""Who may give commands: the revision at which the leader key was created."""
+Attempt = NewType("Attempt", int)
+Mark = NewType("Mark", int)
+"""Revision of a stored key's last change; 0 where the key does not exist."""
+HoldId = NewType("HoldId", int)
+Seconds = float
+Instant = NewType("Instant", float)
+"""Seconds on this process's clock."""
+WallTime = NewType("WallTime", float)
+"""Seconds of the time of day, right to within the settings' bound."""
+
+
+class TaskId(NamedTuple):
+    """One task of a job; written `job/index` on the wire."""
+
+    job: JobId
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.job}/{self.index}"
+
+    @staticmethod
+    def parse(text: str) -> TaskId:
+        job, _, index = text.rpartition("/")
+        return TaskId(JobId(job), int(index))
+
+
+class ReportVersion(NamedTuple):
+    """Orders the reports of one worker: the larger is the newer."""
+
+    session: int
+    seq: int
+
+
+class MachineKind(NamedTuple):
+    """What a rental request chooses: type, zone, and spot or ordinary."""
+
+    type: str
+    zone: str
+    spot: bool
+
+
+EPSILON = 1e-6
+"""Slack for sums of decimal amounts held as floats."""
--- /dev/null
+++ b/meadowcross/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Machine types, rentals, the machine list, returns and sizing."""
--- /dev/null
+++ b/meadowcross/fleet/manager.py
@@ -0,0 +1,311 @@
+"""The leader's fleet: rentals, the machine list, returns, machines given up."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import LoopingCall
+
+from meadowcross.common.logging import logger
+from meadowcross.common.settings import Operator, Settings
+from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds, Token
+from meadowcross.fleet import messages as m
+from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from meadowcross.fleet.sizing import MIN_CHARGE_S, Coming, Need, Rental, plan
+from meadowcross.jobs.book import Book, Phase
+from meadowcross.placement.engine import Room, Want, order
+from meadowcross.workers.commands import Sender
+from meadowcross.workers.roster import Machine, Roster
+
+log = logger("fleet")
+
+TICK_S: Seconds = 1.0
+CLOSED_S: Seconds = 12.0
+BOOT_PATIENCE = 3.0
+MAX_DELETED = 5_000
+LIST_FACTOR = 1.5
+
+
+class Leader(Protocol):
+    """What the fleet needs of the term that owns it."""
+
+    token: Token
+    book: Book
+    roster: Roster
+    sender: Sender
+
+    def _add_machine(self, machine: MachineId, kind: MachineKind) -> Machine: ...
+    def store_machine(self, machine: Machine) -> None: ...
+    def machine_gone(self, name: MachineId) -> None: ...
+    def wants(self) -> list[Want]: ...
+    def rooms(self) -> dict[str, Room]: ...
+    def offerable(self, machine: Machine) -> bool: ...
+    def stop_task(self, placement: object, grace: Seconds) -> None: ...
+
+
+class FleetManager:
+    def __init__(
+        self,
+        clock: IReactorTime,
+        settings: Settings,
+        operator: Operator,
+        cloud: Cloud,
+        types: Callable[[], list[m.MachineType]],
+        leader: Leader,
+    ) -> None:
+        self._clock = clock
+        self._facts = settings.facts
+        self._operator = operator
+        self._cloud = cloud
+        self._types = types
+        self._leader = leader
+        self._counter = 0
+        self._renting: dict[str, Rental] = {}
+        self._closed: dict[MachineKind, float] = {}
+        self._deleted: OrderedDict[MachineId, None] = OrderedDict()
+        self._deleting: set[MachineId] = set()
+        self._listed: set[MachineId] = set()
+        self._missing: dict[MachineId, int] = {}
+        self._list_at = 0.0
+        self._listing = False
+        self._began = Instant(clock.seconds())
+        self._tick = LoopingCall(self._on_tick)
+        self._tick.clock = clock
+
+    @property
+    def now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+    def start(self) -> None:
+        self._began = self.now
+        self._tick.start(TICK_S)
+
+    def stop(self) -> None:
+        if self._tick.running:
+            self._tick.stop()
+
+    def is_deleted(self, machine: MachineId) -> bool:
+        return machine in self._deleted
+
+    def silent(self, machine: Machine) -> bool:
+        """No report for longer than a report's period, its jitter and some delay."""
+        return machine.heard_at is None or self.now - machine.heard_at > 1.25 * self._facts.workers.report_s + 1.0
+
+    def condemn(self, machine: Machine, why: str) -> None:
+        """Take it out of use for good; deleting it proves what was there gone."""
+        if machine.condemned is None:
+            log.info("machine %s condemned with %d tasks: %s", machine.id, len(machine.placements), why)
+            machine.condemned = why
+
+    def _on_tick(self) -> None:
+        try:
+            self._look_after()
+            self._return_idle()
+            self._delete_condemned()
+            self._rent()
+            if not self._listing and self.now >= self._list_at:
+                self._listing = True
+                Deferred.fromCoroutine(self._list())
+        except Exception:
+            log.exception("fleet tick failed")
+
+    # Machines that exist
+
+    async def _list(self) -> None:
+        try:
+            machines = await self._cloud.list()
+            if self._tick.running:
+                self._take_list(machines)
+        except CloudTrouble as error:
+            log.info("machine list: %s", error)
+        finally:
+            self._listing = False
+            self._list_at = self.now + max(2.0, self._facts.cloud.list_lag_s * LIST_FACTOR)
+
+    def _take_list(self, machines: list[m.ListedMachine]) -> None:
+        now = self.now
+        names = set()
+        for listed in machines:
+            names.add(listed.id)
+            if listed.id in self._deleted:
+                continue
+            new = listed.id not in self._leader.roster.machines
+            machine = self._leader._add_machine(listed.id, listed.kind)
+            if new:
+                # Rented by an earlier leader, or by a request executed late: used or returned.
+                log.info("machine %s found in the list: %s", listed.id, listed.state)
+                machine.rented_at = Instant(now - listed.age_s)
+            if listed.addr is not None and machine.addr is None and listed.state == "running":
+                machine.addr = listed.addr
+                self._leader.sender.greet(machine.id)
+            if not machine.stored:
+                self._leader.store_machine(machine)
+            if listed.state == "failed":
+                self.condemn(machine, "the cloud lists it as failed")
+        self._listed.update(names)
+        for machine in self._leader.roster.machines.values():
+            if machine.id in names or machine.id not in self._listed:
+                self._missing.pop(machine.id, None)
+                continue
+            # A list may be older than the one before, so one absence means nothing.
+            count = self._missing[machine.id] = self._missing.get(machine.id, 0) + 1
+            if count >= 3 and self.silent(machine):
+                self.condemn(machine, "it left the machine list")
+
+    def _look_after(self) -> None:
+        now = self.now
+        heard = [x for x in self._leader.roster.machines.values() if x.up]
+        quiet = [x for x in heard if now - (x.heard_at or now) > self._operator.silent_s]
+        # Many at once: more likely it is us who are cut off, so wait out the lease.
+        many = len(quiet) > 2 and len(quiet) * 2 > len(heard)
+        patience = self._facts.workers.lease_s if many else self._operator.silent_s
+        for machine in list(self._leader.roster.machines.values()):
+            if machine.condemned is not None:
+                continue
+            if machine.up:
+                silence = now - (machine.heard_at or now)
+                if silence > patience:
+                    self.condemn(machine, f"silent for {silence:.1f} s")
+                elif self.silent(machine):
+                    self._leader.sender.greet(machine.id)
+            elif machine.placements:
+                # Known from the store only: its worker may still look for the new leader.
+                if now - self._began > self._facts.workers.lease_s:
+                    self.condemn(machine, "silent since before this term")
+            else:
+                boot = machine.type.boot_s if machine.type else 60.0
+                waited = now - max(machine.rented_at, Instant(0.0))
+                if waited > BOOT_PATIENCE * boot + 2 * self._facts.cloud.list_lag_s and now - self._began > 10.0:
+                    self.condemn(machine, f"not up {waited:.0f} s after its rental")
+
+    def _delete_condemned(self) -> None:
+        doomed = [
+            x.id
+            for x in self._leader.roster.machines.values()
+            if x.condemned is not None and x.id not in self._deleting
+        ]
+        if doomed:
+            doomed = doomed[: m.MAX_DELETE]
+            self._deleting.update(doomed)
+            Deferred.fromCoroutine(self._delete(doomed))
+
+    async def _delete(self, names: list[MachineId]) -> None:
+        try:
+            await self._cloud.delete(names)
+        except CloudTrouble as error:
+            # Unknown whether it was executed: only a 200 proves the machines gone.
+            log.info("deletion of %s: %s", ", ".join(names), error)
+            return
+        finally:
+            self._deleting.difference_update(names)
+        log.info("deleted %s", ", ".join(names))
+        for name in names:
+            self._deleted[name] = None
+            if self._tick.running:
+                self._leader.machine_gone(name)
+        while len(self._deleted) > MAX_DELETED:
+            self._deleted.popitem(last=False)
+
+    def _return_idle(self) -> None:
+        now = self.now
+        if self._leader.wants():
+            return
+        for machine in self._leader.roster.machines.values():
+            if machine.condemned is not None or machine.placements or not machine.up:
+                continue
+            idle = now - max(machine.idle_since, machine.heard_at if machine.heard_at is None else machine.idle_since)
+            if idle > self._operator.idle_keep_s and now - machine.rented_at > MIN_CHARGE_S:
+                self.condemn(machine, f"idle for {idle:.0f} s")
+
+    # Rentals
+
+    def _rent(self) -> None:
+        types = {t.name: t for t in self._types()}
+        now = self.now
+        if not types or now - self._began < 1.0:
+            return
+        rooms = self._leader.rooms()
+        needs = []
+        for want in sorted(self._leader.wants(), key=order):
+            count = min(want.count, rooms[want.spec.team].tasks(want.spec))
+            rooms[want.spec.team].take(want.spec, count)
+            if count:
+                needs.append(Need(want.spec, count, self._leader.book.expected_run(want.spec)))
+        if not needs:
+            return
+        closed = {kind for kind, until in self._closed.items() if until > now}
+        for rental in plan(needs, self._coming(types), types, closed):
+            self._counter += 1
+            # Token and counter: no node ever uses the name of a request again.
+            request = f"r-{self._leader.token}-{self._counter}"
+            self._renting[request] = rental
+            Deferred.fromCoroutine(self._rent_one(request, rental))
+
+    def _coming(self, types: dict[str, m.MachineType]) -> list[Coming]:
+        """Room that will be there soon without renting more."""
+        coming = []
+        for rental in self._renting.values():
+            kind = types[rental.kind.type]
+            coming.append(
+                Coming(
+                    rental.kind,
+                    kind.cpus * rental.count,
+                    kind.gpus * rental.count,
+                    kind.memory_gb * rental.count,
+                )
+            )
+        now = self.now
+        for machine in self._leader.roster.machines.values():
+            if machine.condemned is not None or machine.type is None:
+                continue
+            if not machine.up or self._leader.offerable(machine):
+                coming.append(
+                    Coming(
+                        machine.kind,
+                        machine.type.cpus - machine.cpus,
+                        machine.type.gpus - machine.gpus,
+                        machine.type.memory_gb - machine.memory_gb,
+                    )
+                )
+                if not machine.up:
+                    continue
+                freed = coming[-1]
+                for placement in machine.placements.values():
+                    job = self._leader.book.jobs.get(placement.task.job)
+                    if job is None or placement.phase is not Phase.RUNNING or placement.running_at is None:
+                        continue
+                    left = self._leader.book.expected_run(job.spec) - (now - placement.running_at)
+                    if left < machine.type.boot_s * 0.5:
+                        freed.cpus += job.spec.cpus
+                        freed.gpus += job.spec.gpus
+                        freed.memory_gb += job.spec.memory_gb
+        return coming
+
+    async def _rent_one(self, request: str, rental: Rental) -> None:
+        kind = rental.kind
+        try:
+            names = await self._cloud.rent(request, kind, min(rental.count, m.MAX_RENT))
+        except NoCapacity:
+            log.info("rental %s: no capacity for %s", request, kind)
+            self._closed[kind] = self.now + CLOSED_S
+            return
+        except CloudTrouble as error:
+            # May have been executed: such machines show up in reports and in the list.
+            log.info("rental %s: %s", request, error)
+            self._closed[kind] = self.now + 2.0
+            return
+        finally:
+            del self._renting[request]
+        log.info("rental %s: %d of %d %s", request, len(names), rental.count, kind)
+        if len(names) < min(rental.count, m.MAX_RENT):
+            self._closed[kind] = self.now + CLOSED_S
+        if not self._tick.running:
+            return
+        for name in names:
+            if name not in self._deleted:
+                machine = self._leader._add_machine(name, kind)
+                self._leader.store_machine(machine)
--- /dev/null
+++ b/meadowcross/fleet/messages.py
@@ -0,0 +1,83 @@
+"""What the cloud and a node exchange, and machines as stored; wire names stay here."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct, field
+
+from meadowcross.common.types import Address, MachineId, MachineKind, Seconds, WallTime
+
+
+class MachineType(Struct, frozen=True):
+    name: str = field(name="label")
+    cpus: float
+    memory_gb: float = field(name="memoryGb")
+    price: float = field(name="rate")
+    spot_price: float = field(name="marketPrice")
+    boot_s: Seconds = field(name="readyS")
+    zones: list[str] = field(name="fields")
+    gpus: float = 0.0
+    cache_gb: float = field(name="localGb", default=0.0)
+    fetch_gb_per_s: float = field(name="fetchGbPerS", default=1.0)
+
+
+class TypeList(Struct):
+    types: list[MachineType] = field(name="builds")
+
+
+class RentalRequest(Struct):
+    request: str = field(name="hire")
+    type: str = field(name="build")
+    zone: str = field(name="field")
+    spot: bool = field(name="stubble")
+    count: int = field(name="howMany")
+
+
+class MachineNames(Struct):
+    machines: list[MachineId] = field(name="stalls")
+
+
+class ListedMachine(Struct):
+    id: MachineId
+    type: str = field(name="build")
+    zone: str = field(name="field")
+    spot: bool = field(name="stubble")
+    state: str = field(name="standing")
+    age_s: Seconds = field(name="ageS", default=0.0)
+    addr: Address | None = None
+
+    @property
+    def kind(self) -> MachineKind:
+        return MachineKind(self.type, self.zone, self.spot)
+
+
+class MachineList(Struct):
+    machines: list[ListedMachine] = field(name="stalls")
+    more: bool = field(name="hasNext", default=False)
+
+
+class MachineRecord(Struct):
+    """A known machine as stored, so that a new leader finds it at once."""
+
+    type: str = field(name="b")
+    zone: str = field(name="f")
+    spot: bool = field(name="s")
+    rented: WallTime = field(name="t")
+    addr: Address | None = field(name="a", default=None)
+
+
+MACHINES = "w/"
+TYPES_KEY = "types"
+MAX_DELETE = 100
+MAX_RENT = 50
+LIST_LIMIT = 500
+
+encode = msgspec.json.Encoder().encode
+decode_types = msgspec.json.Decoder(TypeList).decode
+decode_names = msgspec.json.Decoder(MachineNames).decode
+decode_list = msgspec.json.Decoder(MachineList).decode
+decode_record = msgspec.json.Decoder(MachineRecord).decode
+
+
+def machine_key(machine: MachineId) -> str:
+    return MACHINES + machine
--- /dev/null
+++ b/meadowcross/fleet/sizing.py
@@ -0,0 +1,124 @@
+"""Sizing: what to rent for the queue and what to return. Pure functions."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from meadowcross.common.types import EPSILON, MachineKind, Seconds
+from meadowcross.fleet.messages import MachineType
+from meadowcross.jobs.messages import JobSpec
+from meadowcross.placement.engine import allowed
+
+MIN_CHARGE_S: Seconds = 60.0
+"""The protocol charges a deleted machine for at least this long."""
+
+
+@dataclass(slots=True)
+class Need:
+    """Tasks of one job that no machine has room for now."""
+
+    spec: JobSpec
+    count: int
+    run_s: Seconds
+
+
+@dataclass(slots=True)
+class Coming:
+    """Room that is on its way: a booting machine, or tasks about to end."""
+
+    kind: MachineKind
+    cpus: float
+    gpus: float
+    memory_gb: float
+
+
+class Rental(NamedTuple):
+    kind: MachineKind
+    count: int
+
+
+def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
+    """How many tasks of the job a room holds."""
+    most = cpus / spec.cpus
+    if spec.gpus > 0:
+        most = min(most, gpus / spec.gpus)
+    if spec.memory_gb > 0:
+        most = min(most, memory_gb / spec.memory_gb)
+    return int(most + EPSILON)
+
+
+def absorb(need: Need, coming: Iterable[Coming]) -> int:
+    """Put the need's tasks into room that is on its way; returns what is left over."""
+    spec = need.spec
+    left = need.count
+    for room in coming:
+        if left == 0:
+            break
+        if not allowed(spec, room.kind):
+            continue
+        taken = min(left, slots(spec, room.cpus, room.gpus, room.memory_gb))
+        room.cpus -= taken * spec.cpus
+        room.gpus -= taken * spec.gpus
+        room.memory_gb -= taken * spec.memory_gb
+        left -= taken
+    return left
+
+
+def cost_of(kind: MachineKind, machine_type: MachineType, need: Need, count: int) -> tuple[float, int] | None:
+    """Money for `count` tasks on this kind, and the machines it takes.
+
+    A machine is paid for its boot, at least the least charge, and the tasks' rounds;
+    room that the tasks leave unused is half counted, since others will use some.
+    """
+    per_machine = slots(need.spec, machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
+    if per_machine == 0:
+        return None
+    machines = math.ceil(count / per_machine)
+    price = machine_type.spot_price if kind.spot else machine_type.price
+    fetch = need.spec.image_gb / max(machine_type.fetch_gb_per_s, 0.01)
+    paid_s = max(MIN_CHARGE_S, machine_type.boot_s + fetch + need.run_s)
+    used = count / (machines * per_machine)
+    return price * machines * paid_s * (0.5 + 0.5 * used), machines
+
+
+def plan(
+    needs: Iterable[Need],
+    coming: list[Coming],
+    types: dict[str, MachineType],
+    closed: set[MachineKind],
+) -> list[Rental]:
+    """Rentals for the needs, cheapest useful capacity first. `closed` has no capacity now."""
+    rentals: dict[MachineKind, int] = {}
+    for need in needs:
+        left = absorb(need, coming)
+        if left == 0:
+            continue
+        options = []
+        for machine_type in types.values():
+            for zone in machine_type.zones:
+                for spot in (True, False):
+                    kind = MachineKind(machine_type.name, zone, spot)
+                    if kind in closed or not allowed(need.spec, kind):
+                        continue
+                    cost = cost_of(kind, machine_type, need, left)
+                    if cost is not None:
+                        options.append((cost[0], rentals.get(kind, 0), kind, cost[1]))
+        if not options:
+            continue
+        _, _, kind, machines = min(options)
+        rentals[kind] = rentals.get(kind, 0) + machines
+        chosen = types[kind.type]
+        per_machine = slots(need.spec, chosen.cpus, chosen.gpus, chosen.memory_gb)
+        spare = machines * per_machine - left
+        coming.append(
+            Coming(
+                kind,
+                machines * chosen.cpus - left * need.spec.cpus,
+                machines * chosen.gpus - left * need.spec.gpus,
+                machines * chosen.memory_gb - left * need.spec.memory_gb,
+            )
+        ) if spare else None
+    return [Rental(kind, count) for kind, count in rentals.items()]
--- /dev/null
+++ b/meadowcross/jobs/api.py
@@ -0,0 +1,246 @@
+"""The user API, served by any node: submit, query, cancel, readiness."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from threading import Lock
+
+import msgspec
+
+from meadowcross.common.clock import Clock
+from meadowcross.common.http import Answer, Router, reason
+from meadowcross.common.logging import logger
+from meadowcross.common.settings import Team
+from meadowcross.common.types import EPSILON, JobId, Mark, WallTime
+from meadowcross.fleet.messages import MachineType
+from meadowcross.jobs import messages as m
+from meadowcross.store import messages as sm
+from meadowcross.store.budget import Urgency
+from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown
+
+log = logger("jobs")
+
+RETRY_AFTER_S = 1
+MAX_FINAL = 2_000
+MAX_OPEN_REQUESTS = 300
+TRIES = 3
+
+Progress = Callable[[JobId], Awaitable[tuple[int, int] | None]]
+
+
+class FinalStates:
+    """A bounded cache. Only final states may be cached: they never change."""
+
+    def __init__(self) -> None:
+        self._lock = Lock()
+        self._ended: OrderedDict[JobId, m.EndedRecord] = OrderedDict()
+
+    def get(self, job: JobId) -> m.EndedRecord | None:
+        with self._lock:
+            return self._ended.get(job)
+
+    def put(self, job: JobId, ended: m.EndedRecord) -> None:
+        with self._lock:
+            self._ended[job] = ended
+            while len(self._ended) > MAX_FINAL:
+                self._ended.popitem(last=False)
+
+
+def answer_of(job: JobId, standing: m.Standing, done: int, running: int, status: int = 200) -> Answer:
+    return Answer(status, m.encode(m.JobAnswer(job, standing, done, running)) + b"\n")
+
+
+def refusal(spec: m.JobSpec, teams: dict[str, Team], types: list[MachineType], zones: list[str]) -> str | None:
+    """Why a well-formed job can never run (422), or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return f"unknown team {spec.team}"
+    known_zones = set(zones).union(*(t.zones for t in types))
+    if spec.zone is not None and spec.zone not in known_zones:
+        return f"unknown zone {spec.zone}"
+    fitting = [
+        t
+        for t in types
+        if (spec.types is None or t.name in spec.types)
+        and (spec.zone is None or spec.zone in t.zones)
+        and spec.cpus <= t.cpus + EPSILON
+        and spec.gpus <= t.gpus + EPSILON
+        and spec.memory_gb <= t.memory_gb + EPSILON
+    ]
+    if not fitting:
+        return "a task fits no allowed machine type"
+    at_once = 1 if spec.kind is m.Kind.ARRAY else spec.tasks
+    for name, need, most in (("cpus", spec.cpus, team.cpus_max), ("gpus", spec.gpus, team.gpus_max)):
+        if most > 0 and need * at_once > most + EPSILON:
+            return f"needs more {name} than the team's limit of {most:g}"
+    if spec.spread and spec.tasks > 1 and spec.kind is not m.Kind.ARRAY:
+        # Half the tasks, rounded up, may be in one zone, so the rest needs another.
+        if spec.one_zone or spec.zone is not None or len(set().union(*(t.zones for t in fitting))) < 2:
+            return "the job's zones can't be spread"
+    return None
+
+
+class JobApi:
+    def __init__(
+        self,
+        clock: Clock,
+        store: StoreClient,
+        teams: list[Team],
+        zones: list[str],
+        types: Callable[[], list[MachineType]],
+        progress: Progress,
+        peer_has_store: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._teams = {team.name: team for team in teams}
+        self._zones = zones
+        self._types = types
+        self._progress = progress
+        self._peer_has_store = peer_has_store
+        self._final = FinalStates()
+        self._open_requests = 0
+        self._chunk = max(1, store.max_value // 64)
+
+    def routes(self, router: Router) -> None:
+        router.add("POST", r"/v1/jobs", self._guarded(self.submit))
+        router.add("GET", r"/v1/jobs/([^/]+)", self._guarded(self.query))
+        router.add("POST", r"/v1/jobs/([^/]+)/withdraw", self._guarded(self.cancel))
+        router.add("GET", r"/ready", self.ready)
+
+    def _guarded(self, handler: Callable[..., Awaitable[Answer]]) -> Callable[..., Awaitable[Answer]]:
+        """Bounded work, and an immediate 503 where the store gives no answer."""
+
+        async def run(*arguments: object) -> Answer:
+            if self._open_requests >= MAX_OPEN_REQUESTS:
+                return reason(503, "too many requests are open", RETRY_AFTER_S)
+            self._open_requests += 1
+            try:
+                return await handler(*arguments)
+            except (Unavailable, Unknown, Refused) as error:
+                log.debug("request refused: %s", error)
+                return reason(503, "the state service gives no answer", RETRY_AFTER_S)
+            finally:
+                self._open_requests -= 1
+
+        return run
+
+    def ready(self, body: bytes) -> Answer:
+        if not self._types():
+            return reason(503, "machine types are not known yet", RETRY_AFTER_S)
+        failing = self._store.failing_since
+        if failing is not None and self._clock.seconds() - failing > 1.0 and self._peer_has_store():
+            # Only this node is without the store: users do better elsewhere. In an outage
+            # of all nodes it stays ready, and answers at once when to come back.
+            return reason(503, "the state service does not answer this node", RETRY_AFTER_S)
+        return Answer(200, b'{"ready":true}\n')
+
+    async def submit(self, body: bytes) -> Answer:
+        try:
+            spec = m.decode_spec(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return reason(400, str(error))
+        if spec.spread and spec.one_zone and spec.tasks > 1 and spec.kind is m.Kind.ARRAY:
+            return reason(400, "oneZone and scatter exclude each other")
+        job = JobId(spec.id)
+        types = self._types()
+        if not types:
+            return reason(503, "machine types are not known yet", RETRY_AFTER_S)
+        why = refusal(spec, self._teams, types, self._zones)
+        if why is not None:
+            # A repeated submission of an accepted job is never refused.
+            return await self._known(job) or reason(422, why)
+        record = m.JobRecord(spec, WallTime(self._clock.seconds()), self._chunk)
+        value = sm.raw(record)
+        if len(bytes(value)) > self._store.max_value:
+            return reason(400, "the job's description is too long")
+        try:
+            await self._store.transact(
+                [sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))],
+                [sm.Put(m.open_key(job), value)],
+                Urgency.USER,
+                1.5,
+            )
+        except Conflicted:
+            return await self._known(job) or reason(503, "the job just changed", RETRY_AFTER_S)
+        except Unknown:
+            known = await self._known(job)
+            if known is None:
+                raise
+            return known
+        log.info("job %s accepted: %s, %d tasks", job, spec.job_class, spec.tasks)
+        return answer_of(job, m.Standing.PENDING, 0, 0, 201)
+
+    async def _look_up(self, job: JobId) -> m.EndedRecord | tuple[m.JobRecord, Mark] | None:
+        """A fresh read. Jobs move from the open to the ended key in one transaction,
+        so a job found under neither, in this order, was never accepted."""
+        ended = self._final.get(job)
+        if ended is not None:
+            return ended
+        item = await self._store.get(m.open_key(job))
+        if item is not None:
+            record = m.decode_record(item.value)
+            if record.cancelled is not None:
+                self._final.put(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
+            return record, item.mark
+        item = await self._store.get(m.ended_key(job))
+        if item is None:
+            return None
+        ended = m.decode_ended(item.value)
+        self._final.put(job, ended)
+        return ended
+
+    async def _known(self, job: JobId) -> Answer | None:
+        found = await self._look_up(job)
+        if found is None:
+            return None
+        if isinstance(found, m.EndedRecord):
+            done = found.tasks if found.standing is m.Standing.DONE else 0
+            return answer_of(job, found.standing, done, 0)
+        record, _ = found
+        if record.cancelled is not None:
+            return answer_of(job, m.Standing.CANCELLED, 0, 0)
+        done, running = await self._progress(job) or (0, 0)
+        # All tasks done but not yet stored as such: not done for the user.
+        done = min(done, record.spec.tasks - 1) if running == 0 else done
+        return answer_of(job, m.Standing.RUNNING if running else m.Standing.PENDING, done, running)
+
+    async def query(self, body: bytes, job_text: str) -> Answer:
+        if not is_job_id(job_text):
+            return reason(404, "no such job")
+        return await self._known(JobId(job_text)) or reason(404, "no such job")
+
+    async def cancel(self, body: bytes, job_text: str) -> Answer:
+        job = JobId(job_text)
+        if not is_job_id(job_text):
+            return reason(404, "no such job")
+        for _ in range(TRIES):
+            found = await self._look_up(job)
+            if found is None:
+                return reason(404, "no such job")
+            if isinstance(found, m.EndedRecord):
+                return answer_of(job, found.standing, 0, 0)
+            record, mark = found
+            if record.cancelled is not None:
+                return answer_of(job, m.Standing.CANCELLED, 0, 0)
+            record.cancelled = WallTime(self._clock.seconds())
+            try:
+                await self._store.transact(
+                    [sm.Condition(m.open_key(job), mark)],
+                    [sm.Put(m.open_key(job), sm.raw(record))],
+                    Urgency.USER,
+                    1.5,
+                )
+            except (Conflicted, Unknown):
+                # Lost a race, or no answer: only a fresh read tells what the job is now.
+                continue
+            log.info("job %s cancelled", job)
+            self._final.put(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
+            return answer_of(job, m.Standing.CANCELLED, 0, 0)
+        return reason(503, "the job is changing", RETRY_AFTER_S)
+
+
+def is_job_id(text: str) -> bool:
+    prefix, _, number = text.partition("-")
+    return prefix == "wk" and number.isascii() and number.isdigit() and 6 <= len(number) <= 18
--- /dev/null
+++ b/meadowcross/jobs/messages.py
@@ -0,0 +1,122 @@
+"""What users send and read, and how jobs are stored; wire names stay here."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from meadowcross.common.types import JobId, WallTime
+
+MAX_TASKS = 100_000
+
+_Id = Annotated[str, Meta(pattern=r"^wk-[0-9]{6,18}$")]
+_Text = Annotated[str, Meta(min_length=1, max_length=200)]
+_Above = Annotated[float, Meta(gt=0, le=1e9)]
+_Amount = Annotated[float, Meta(ge=0, le=1e9)]
+
+
+class Kind(Enum):
+    ARRAY = "batch"
+    GANG = "group"
+    SERVICE = "daemon"
+
+
+class Priority(Enum):
+    PRODUCTION = "critical"
+    HIGH = "urgent"
+    NORMAL = "normal"
+    LOW = "idle"
+
+
+RANK = {Priority.PRODUCTION: 0, Priority.HIGH: 1, Priority.NORMAL: 2, Priority.LOW: 3}
+"""0 goes first."""
+
+
+class JobSpec(Struct, frozen=True):
+    """A submission. A field that may be null may be left out; the rest must be there."""
+
+    id: _Id
+    job_class: _Text = field(name="herd")
+    team: _Text = field(name="steward")
+    kind: Kind = field(name="breed")
+    priority: Priority = field(name="rank")
+    tasks: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = field(name="heads")
+    cpus: _Above
+    gpus: _Amount
+    memory_gb: _Amount = field(name="memoryGb")
+    image: _Text = field(name="feedstock")
+    image_gb: _Amount = field(name="pullGb")
+    one_zone: bool = field(name="oneZone")
+    spread: bool = field(name="scatter")
+    spot: bool = field(name="stubble")
+    estimate_s: _Amount = field(name="grazeS")
+    checkpoint_s: _Amount = field(name="stookS")
+    save_s: _Amount = field(name="baleS")
+    types: list[_Text] | None = field(name="builds", default=None)
+    zone: _Text | None = field(name="field", default=None)
+    deadline_s: _Amount | None = field(name="sundownS", default=None)
+
+
+class Standing(Enum):
+    PENDING = "pending"
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+class JobRecord(Struct):
+    """An open or just cancelled job, under its open key."""
+
+    spec: JobSpec
+    submitted: WallTime = field(name="t")
+    chunk: int = field(name="k", default=256)
+    """Tasks in one stored chunk, fixed at acceptance so that settings may change later."""
+    cancelled: WallTime | None = field(name="c", default=None)
+
+
+class EndedRecord(Struct):
+    """All that a later answer needs of an ended job, under its ended key."""
+
+    standing: Standing = field(name="s")
+    tasks: int = field(name="n")
+
+
+class JobAnswer(Struct, omit_defaults=True):
+    id: JobId
+    standing: Standing
+    done: int | None = None
+    running: int | None = None
+
+
+encode = msgspec.json.Encoder().encode
+decode_spec = msgspec.json.Decoder(JobSpec).decode
+decode_record = msgspec.json.Decoder(JobRecord).decode
+decode_ended = msgspec.json.Decoder(EndedRecord).decode
+
+OPEN = "j/"
+ENDED = "e/"
+CHUNKS = "t/"
+
+Stored = Any
+"""One task in a stored chunk: see `jobs.book`."""
+decode_chunk = msgspec.json.Decoder(list[int | tuple[int, str]]).decode
+
+
+def open_key(job: JobId) -> str:
+    return OPEN + job
+
+
+def ended_key(job: JobId) -> str:
+    return ENDED + job
+
+
+def chunk_key(job: JobId, chunk: int) -> str:
+    return f"{CHUNKS}{job}/{chunk:05d}"
+
+
+def parse_chunk_key(key: str) -> tuple[JobId, int]:
+    job, _, number = key.removeprefix(CHUNKS).rpartition("/")
+    return JobId(job), int(number)
--- /dev/null
+++ b/meadowcross/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Who may give commands: election, token, peer link, the leader's term."""
--- /dev/null
+++ b/meadowcross/leadership/election.py
@@ -0,0 +1,157 @@
+"""Election: a key attached to a short hold, created only if absent.
+
+The revision that creates the key is the token, so tokens only grow. Nothing here
+relies on clocks: a node that wrongly believes that it leads can't commit, since
+every leader transaction has the key's version as a condition, and workers drop
+what carries a lower token.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from meadowcross.common.clock import Clock, pause
+from meadowcross.common.logging import logger
+from meadowcross.common.types import HoldId, NodeName, Seconds, Token
+from meadowcross.leadership.messages import LEADER_KEY, LeaderRecord, decode_leader
+from meadowcross.store import messages as sm
+from meadowcross.store.budget import Urgency
+from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown, WatchTooOld
+
+log = logger("leadership")
+
+RETRY_S: Seconds = 0.25
+WATCH_S: Seconds = 20.0
+
+
+class Term(Protocol):
+    """What a node does while it leads."""
+
+    def stop(self) -> None: ...
+
+
+class Election:
+    def __init__(
+        self,
+        clock: Clock,
+        store: StoreClient,
+        node: NodeName,
+        life: str,
+        hold_s: Seconds,
+        begin_term: Callable[[Token], Term],
+    ) -> None:
+        self._clock = clock
+        self._store = store
+        self._record = LeaderRecord(node, life)
+        self._hold_s = hold_s
+        self._begin_term = begin_term
+        self._hold: HoldId | None = None
+        self._term: Term | None = None
+        self._seen: tuple[NodeName, Token] | None = None
+        self._stood_down = False
+        self.token: Token | None = None
+        """Our own token while we lead."""
+
+    @property
+    def leader(self) -> tuple[NodeName, Token] | None:
+        """The last leader seen; kept through an outage, when nobody else can be elected."""
+        return self._seen
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self._round()
+            except (Unavailable, Unknown, Refused) as error:
+                log.debug("election waits: %s", error)
+                await pause(self._clock, RETRY_S)
+            except Exception:
+                log.exception("election round failed")
+                await pause(self._clock, 1.0)
+
+    async def _round(self) -> None:
+        item = await self._store.get(LEADER_KEY, Urgency.LEADERSHIP)
+        if item is None:
+            self._seen = None
+            await self._stand()
+            return
+        record = decode_leader(item.value)
+        token = Token(item.mark)
+        self._seen = (record.node, token)
+        if record.life == self._record.life:
+            # Ours: also where a lost answer hid that the key was created, at once or late.
+            if self._hold is not None and item.hold == self._hold:
+                await self._lead(token)
+                return
+            if item.hold is not None:
+                await self._store.end_hold(item.hold)
+                return
+        await self._await_vacancy(sm.Mark(item.mark))
+
+    async def _stand(self) -> None:
+        if self._hold is None or not await self._store.renew_hold(self._hold, self._hold_s):
+            self._hold = await self._store.open_hold(self._hold_s)
+        try:
+            await self._store.transact(
+                [sm.Condition(LEADER_KEY, sm.Mark(0))],
+                [sm.Put(LEADER_KEY, sm.raw(self._record), self._hold)],
+                Urgency.LEADERSHIP,
+            )
+        except Conflicted:
+            log.debug("another node was elected first")
+        except Refused:
+            self._hold = None
+            raise
+        # Won, lost or unknown: the next round reads the key, which alone decides.
+
+    async def _await_vacancy(self, since: sm.Mark) -> None:
+        revision = since
+        while True:
+            try:
+                seen = await self._store.watch(LEADER_KEY, revision, WATCH_S)
+            except WatchTooOld:
+                return
+            if any(event.key == LEADER_KEY for event in seen.events):
+                return
+            revision = seen.revision
+
+    async def _lead(self, token: Token) -> None:
+        assert self._hold is not None
+        log.info("leads with token %d", token)
+        self.token = token
+        self._stood_down = False
+        self._term = self._begin_term(token)
+        renewed = self._clock.seconds()
+        try:
+            while not self._stood_down:
+                await pause(self._clock, self._hold_s / 4)
+                if self._stood_down:
+                    break
+                try:
+                    if not await self._store.renew_hold(self._hold, self._hold_s / 2):
+                        log.info("hold %d ended: token %d is over", self._hold, token)
+                        break
+                    renewed = self._clock.seconds()
+                except (Unavailable, Unknown, Refused) as error:
+                    # Not a reason to stand down: in an outage nobody else can be elected,
+                    # and workers whose reports go unanswered would lose their leases.
+                    log.debug("renewal failing for %.1f s: %s", self._clock.seconds() - renewed, error)
+        finally:
+            hold, self._hold = self._hold, None
+            self.token = None
+            self._term.stop()
+            self._term = None
+            log.info("no longer leads with token %d", token)
+            if hold is not None:
+                try:
+                    await self._store.end_hold(hold)
+                except (Unavailable, Unknown, Refused):
+                    log.debug("hold %d left to end by itself", hold)
+
+    def stand_down(self, why: str) -> None:
+        """A higher token was seen, or a commit showed that the key is no longer ours."""
+        if self._term is not None and not self._stood_down:
+            log.info("stands down: %s", why)
+            self._stood_down = True
+            self._term.stop()
+            self.token = None
--- /dev/null
+++ b/meadowcross/leadership/messages.py
@@ -0,0 +1,46 @@
+"""The leader's record in the store and the messages between controllers."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+from meadowcross.common.types import JobId, NodeName, Token
+
+LEADER_KEY = "lead"
+
+
+class LeaderRecord(Struct):
+    """Who leads. `life` tells this process from its predecessors of the same name."""
+
+    node: NodeName
+    life: str
+
+
+class Beat(Struct, tag="beat", tag_field="kind"):
+    """Sent to every peer about once a second."""
+
+    node: NodeName
+    store_ok: bool
+    leads: Token | None = None
+
+
+class ProgressQuestion(Struct, tag="progress?", tag_field="kind"):
+    """Asks the leader for a job's counts, for display."""
+
+    number: int
+    job: JobId
+
+
+class ProgressAnswer(Struct, tag="progress", tag_field="kind"):
+    number: int
+    known: bool
+    done: int = 0
+    running: int = 0
+
+
+Message = Beat | ProgressQuestion | ProgressAnswer
+
+encode = msgspec.json.Encoder().encode
+decode = msgspec.json.Decoder(Message).decode
+decode_leader = msgspec.json.Decoder(LeaderRecord).decode
--- /dev/null
+++ b/meadowcross/leadership/peerlink.py
@@ -0,0 +1,167 @@
+"""The link between controllers: netstrings of JSON over kept connections.
+
+Every node calls every peer and also listens; questions go out on the caller's
+connection and are answered on it. Nothing that a rule rests on depends on it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Factory, ReconnectingClientFactory
+from twisted.internet.task import LoopingCall
+from twisted.protocols.basic import NetstringReceiver
+
+from meadowcross.common.clock import Clock
+from meadowcross.common.logging import logger
+from meadowcross.common.settings import Peer
+from meadowcross.common.types import JobId, NodeName, Seconds
+from meadowcross.leadership import messages as m
+
+log = logger("leadership")
+
+BEAT_S: Seconds = 1.0
+FRESH_S: Seconds = 3.0
+ANSWER_S: Seconds = 0.4
+MAX_QUESTIONS = 256
+
+
+class _Line(NetstringReceiver):
+    MAX_LENGTH = 64 * 1024
+
+    def __init__(self, link: PeerLink) -> None:
+        super().__init__()
+        self._link = link
+        self.peer: NodeName | None = None
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)  # type: ignore[union-attr]
+        if self.peer is not None:
+            self._link.opened(self.peer, self)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        if self.peer is not None:
+            self._link.closed(self.peer, self)
+
+    def stringReceived(self, string: bytes) -> None:
+        try:
+            message = m.decode(string)
+        except msgspec.DecodeError as error:
+            log.info("peer sent what can't be read: %s", error)
+            return
+        self._link.received(self, message)
+
+    def send(self, message: m.Message) -> None:
+        self.sendString(m.encode(message))
+
+
+class _Caller(ReconnectingClientFactory):
+    initialDelay = 0.3
+    maxDelay = 2.0
+    factor = 1.5
+    noisy = False
+
+    def __init__(self, link: PeerLink, peer: NodeName) -> None:
+        self._link = link
+        self._peer = peer
+
+    def buildProtocol(self, addr: Any) -> _Line:
+        self.resetDelay()
+        line = _Line(self._link)
+        line.peer = self._peer
+        return line
+
+
+class _Listener(Factory):
+    noisy = False
+
+    def __init__(self, link: PeerLink) -> None:
+        self._link = link
+
+    def buildProtocol(self, addr: Any) -> _Line:
+        return _Line(self._link)
+
+
+class PeerLink:
+    def __init__(
+        self,
+        clock: Clock,
+        node: NodeName,
+        peers: list[Peer],
+        own_beat: Callable[[], m.Beat],
+        progress_of: Callable[[JobId], tuple[int, int] | None],
+    ) -> None:
+        self._clock = clock
+        self._node = node
+        self._peers = peers
+        self._own_beat = own_beat
+        self._progress_of = progress_of
+        self._lines: dict[NodeName, _Line] = {}
+        self._beats: dict[NodeName, tuple[float, m.Beat]] = {}
+        self._questions: dict[int, Deferred[tuple[int, int] | None]] = {}
+        self._number = 0
+
+    def start(self, reactor: Any, bind: str) -> None:
+        host, _, port = bind.rpartition(":")
+        reactor.listenTCP(int(port), _Listener(self), interface=host)
+        for peer in self._peers:
+            peer_host, _, peer_port = peer.endpoint.rpartition(":")
+            reactor.connectTCP(peer_host, int(peer_port), _Caller(self, NodeName(peer.host_name)), timeout=2)
+        loop = LoopingCall(self._send_beats)
+        loop.clock = self._clock
+        loop.start(BEAT_S)
+
+    def opened(self, peer: NodeName, line: _Line) -> None:
+        self._lines[peer] = line
+        line.send(self._own_beat())
+
+    def closed(self, peer: NodeName, line: _Line) -> None:
+        if self._lines.get(peer) is line:
+            del self._lines[peer]
+
+    def _send_beats(self) -> None:
+        beat = self._own_beat()
+        for line in list(self._lines.values()):
+            line.send(beat)
+
+    def received(self, line: _Line, message: m.Message) -> None:
+        if isinstance(message, m.Beat):
+            self._beats[message.node] = (self._clock.seconds(), message)
+        elif isinstance(message, m.ProgressQuestion):
+            counts = self._progress_of(message.job)
+            done, running = counts or (0, 0)
+            line.send(m.ProgressAnswer(message.number, counts is not None, done, running))
+        else:
+            waiting = self._questions.pop(message.number, None)
+            if waiting is not None:
+                waiting.callback((message.done, message.running) if message.known else None)
+
+    def peer_has_store(self) -> bool:
+        """Whether some peer lately said that the state service answers it."""
+        now = self._clock.seconds()
+        return any(now - at < FRESH_S and beat.store_ok for at, beat in self._beats.values())
+
+    def heard_lately(self, peer: NodeName) -> bool:
+        beat = self._beats.get(peer)
+        return beat is not None and self._clock.seconds() - beat[0] < FRESH_S
+
+    async def ask_progress(self, leader: NodeName, job: JobId) -> tuple[int, int] | None:
+        """The leader's counts, or None where it doesn't know or doesn't answer soon."""
+        line = self._lines.get(leader)
+        if line is None or len(self._questions) >= MAX_QUESTIONS:
+            return None
+        self._number += 1
+        number = self._number
+        answer: Deferred[tuple[int, int] | None] = Deferred()
+        self._questions[number] = answer
+        line.send(m.ProgressQuestion(number, job))
+        answer.addTimeout(ANSWER_S, self._clock)
+        try:
+            return await answer
+        except Exception:
+            return None
+        finally:
+            self._questions.pop(number, None)
--- /dev/null
+++ b/meadowcross/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Pure placement decisions over a snapshot."""
--- /dev/null
+++ b/meadowcross/placement/engine.py
@@ -0,0 +1,235 @@
+"""Placement: filter, score and choose. Pure functions over a snapshot.
+
+The score is DESIGN's: gamma times the resource term plus delta times the network
+term. The paper's percentage gap is taken relative to the machine's free amount,
+the term in Algorithm 1 that the gap is subtracted from (see docs/design.md).
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from meadowcross.common.settings import Operator
+from meadowcross.common.types import EPSILON, JobId, MachineId, MachineKind, Seconds
+from meadowcross.jobs.messages import JobSpec, Kind
+
+
+@dataclass(slots=True)
+class Offer:
+    """A machine that may be given work: draining, silent or condemned ones are not offered."""
+
+    machine: MachineId
+    kind: MachineKind
+    free_cpus: float
+    free_gpus: float
+    free_memory: float
+    images: set[str]
+
+    def fits(self, spec: JobSpec) -> bool:
+        return (
+            spec.cpus <= self.free_cpus + EPSILON
+            and spec.gpus <= self.free_gpus + EPSILON
+            and spec.memory_gb <= self.free_memory + EPSILON
+        )
+
+    def take(self, spec: JobSpec, sign: int = 1) -> None:
+        self.free_cpus -= sign * spec.cpus
+        self.free_gpus -= sign * spec.gpus
+        self.free_memory -= sign * spec.memory_gb
+
+
+@dataclass(slots=True)
+class Want:
+    """A job with tasks to place, and where its placed, not proven gone, tasks are."""
+
+    job: JobId
+    spec: JobSpec
+    count: int
+    rank: int
+    slack: Seconds
+    retrying: bool = False
+    borrowing: bool = False
+    siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
+    """Per machine: its zone and how many of the job's tasks count there."""
+
+
+@dataclass(slots=True)
+class Room:
+    """What a team may still use; infinite where it has no limit."""
+
+    cpus: float
+    gpus: float
+
+    def tasks(self, spec: JobSpec) -> int:
+        most = 10**9
+        if spec.cpus > 0 and self.cpus < 1e12:
+            most = min(most, int((self.cpus + EPSILON) / spec.cpus))
+        if spec.gpus > 0 and self.gpus < 1e12:
+            most = min(most, int((self.gpus + EPSILON) / spec.gpus))
+        return max(0, most)
+
+    def take(self, spec: JobSpec, count: int) -> None:
+        self.cpus -= spec.cpus * count
+        self.gpus -= spec.gpus * count
+
+
+class Choice(NamedTuple):
+    job: JobId
+    machines: list[MachineId]
+
+
+def allowed(spec: JobSpec, kind: MachineKind) -> bool:
+    return (
+        (spec.spot or not kind.spot)
+        and (spec.types is None or kind.type in spec.types)
+        and (spec.zone is None or kind.zone == spec.zone)
+    )
+
+
+def resource_term(spec: JobSpec, free_cpus: float, free_memory: float, weights: Operator) -> float:
+    cpu = (free_cpus - spec.cpus) / free_cpus * 100 if free_cpus > EPSILON else 0.0
+    memory = (free_memory - spec.memory_gb) / free_memory * 100 if free_memory > EPSILON else 0.0
+    return weights.alpha * cpu + weights.beta * memory
+
+
+def network_term(
+    machine: MachineId, zone: str, siblings: dict[MachineId, tuple[str, int]], weights: Operator
+) -> float:
+    cost = 0.0
+    for other, (other_zone, count) in siblings.items():
+        if other == machine:
+            cost += count * weights.cost_same_machine
+        elif other_zone == zone:
+            cost += count * weights.cost_same_zone
+        else:
+            cost += count * weights.cost_across_zones
+    return -cost
+
+
+def score(spec: JobSpec, offer: Offer, siblings: dict[MachineId, tuple[str, int]], weights: Operator) -> float:
+    network = network_term(offer.machine, offer.kind.zone, siblings, weights) if talks(spec) else 0.0
+    return weights.gamma * resource_term(spec, offer.free_cpus, offer.free_memory, weights) + weights.delta * network
+
+
+def talks(spec: JobSpec) -> bool:
+    """Only gang siblings count as talking; arrays and services have no known traffic."""
+    return spec.kind is Kind.GANG
+
+
+def order(want: Want) -> tuple[int, bool, bool, Seconds, JobId]:
+    """Strictly by priority; then work inside a guarantee, retries, and least slack."""
+    return (want.rank, want.borrowing, not want.retrying, want.slack, want.job)
+
+
+def place(offers: Iterable[Offer], wants: Iterable[Want], rooms: dict[str, Room], weights: Operator) -> list[Choice]:
+    """Choose machines for as many tasks as fit, in queue order."""
+    offered = list(offers)
+    full: set[tuple[object, ...]] = set()
+    choices: list[Choice] = []
+    for want in sorted(wants, key=order):
+        spec = want.spec
+        shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, spec.zone, tuple(spec.types or ()))
+        plain = not (spec.one_zone or spec.spread or talks(spec))
+        if plain and shape in full:
+            continue
+        room = rooms[spec.team]
+        count = min(want.count, room.tasks(spec))
+        if talks(spec) and count < want.count:
+            continue
+        if count == 0:
+            continue
+        fitting = [o for o in offered if allowed(spec, o.kind) and o.fits(spec)]
+        if plain:
+            machines = _fill(spec, fitting, count, weights)
+            if len(machines) < count:
+                full.add(shape)
+        else:
+            machines = _constrained(want, fitting, count, weights)
+        if machines:
+            room.take(spec, len(machines))
+            choices.append(Choice(want.job, machines))
+    return choices
+
+
+def _fill(spec: JobSpec, fitting: list[Offer], count: int, weights: Operator) -> list[MachineId]:
+    """The top score takes each task. Machines that hold the image are offered first:
+    the smallest exception that spares starts an image fetch (see docs/design.md)."""
+    machines: list[MachineId] = []
+    warm = [o for o in fitting if spec.image in o.images]
+    cold = [o for o in fitting if spec.image not in o.images]
+    for group in (warm, cold):
+        heap = [(-score(spec, o, {}, weights), o.machine, o) for o in group]
+        heapq.heapify(heap)
+        while heap and len(machines) < count:
+            _, name, offer = heap[0]
+            offer.take(spec)
+            machines.append(name)
+            if offer.fits(spec):
+                heapq.heapreplace(heap, (-score(spec, offer, {}, weights), name, offer))
+            else:
+                heapq.heappop(heap)
+    return machines
+
+
+def _constrained(want: Want, fitting: list[Offer], count: int, weights: Operator) -> list[MachineId]:
+    """One zone, spread and gangs; a gang's tasks are all placed or none are."""
+    spec = want.spec
+    zones = {zone for zone, _ in want.siblings.values()}
+    if spec.one_zone:
+        # Old members hold their zone until they are gone.
+        chosen = sorted(zones or {o.kind.zone for o in fitting})
+        options = [[o for o in fitting if o.kind.zone == zone] for zone in chosen]
+        if len(zones) > 1:
+            return []
+    else:
+        options = [fitting]
+    best: tuple[float, list[MachineId]] | None = None
+    for option in options:
+        total, machines = _greedy(want, option, count, weights)
+        if talks(spec) and len(machines) < count:
+            continue
+        if machines and (best is None or (len(machines), total) > (len(best[1]), best[0])):
+            best = (total, machines)
+    if best is None:
+        return []
+    by_name = {o.machine: o for o in fitting}
+    for name in best[1]:
+        by_name[name].take(spec)
+    return best[1]
+
+
+def _greedy(want: Want, option: list[Offer], count: int, weights: Operator) -> tuple[float, list[MachineId]]:
+    spec = want.spec
+    siblings = dict(want.siblings)
+    in_zone: Counter[str] = Counter()
+    for zone, number in siblings.values():
+        in_zone[zone] += number
+    # Half of the tasks, rounded up; with fewer placed at the moment it is stricter to
+    # count what is placed, so that the share holds whichever tasks come or go.
+    most_in_zone = (spec.tasks + 1) // 2 if spec.spread else 10**9
+    total = 0.0
+    machines: list[MachineId] = []
+    for _ in range(count):
+        best: tuple[float, Offer] | None = None
+        for offer in option:
+            if in_zone[offer.kind.zone] >= most_in_zone or not offer.fits(spec):
+                continue
+            value = score(spec, offer, siblings, weights)
+            if best is None or value > best[0]:
+                best = (value, offer)
+        if best is None:
+            break
+        value, offer = best
+        offer.take(spec)
+        total += value
+        machines.append(offer.machine)
+        in_zone[offer.kind.zone] += 1
+        zone, number = siblings.get(offer.machine, (offer.kind.zone, 0))
+        siblings[offer.machine] = (zone, number + 1)
+    for name in machines:
+        next(o for o in option if o.machine == name).take(spec, -1)
+    return total, machines
--- /dev/null
+++ b/meadowcross/store/__init__.py
@@ -0,0 +1,1 @@
+"""The state-service client: transactions, holds, watches, budgets, group commit."""
--- /dev/null
+++ b/meadowcross/store/budget.py
@@ -0,0 +1,89 @@
+"""Request budgets: token buckets, urgent callers first."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import IntEnum
+from threading import Lock
+
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+
+class Urgency(IntEnum):
+    """What goes first when a budget is short."""
+
+    LEADERSHIP = 0
+    USER = 1
+    PLACEMENT = 2
+    LATER = 3
+
+
+class Budget:
+    """A bucket of `burst` refilled at `rate` a second; waiters queue by urgency."""
+
+    def __init__(self, clock: IReactorTime, rate: float, burst: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._burst = max(burst, 1.0)
+        self._level = self._burst
+        self._at = clock.seconds()
+        self._lock = Lock()
+        self._waiting: dict[Urgency, deque[tuple[float, Deferred[None]]]] = {u: deque() for u in Urgency}
+        self._timer_set = False
+
+    def _refill(self) -> None:
+        now = self._clock.seconds()
+        self._level = min(self._burst, self._level + max(0.0, now - self._at) * self._rate)
+        self._at = now
+
+    def try_take(self, amount: float = 1.0) -> bool:
+        """Take now or not at all; overdraws for an amount above the burst."""
+        with self._lock:
+            self._refill()
+            if self._level < min(amount, self._burst):
+                return False
+            self._level -= amount
+            return True
+
+    def empty_out(self) -> None:
+        """The other side says that the shared budget is spent."""
+        with self._lock:
+            self._refill()
+            self._level = min(self._level, 0.0)
+
+    def take(self, amount: float, urgency: Urgency) -> Deferred[None]:
+        ready: Deferred[None] = Deferred()
+        ahead = any(self._waiting[u] for u in Urgency if u <= urgency)
+        if urgency is Urgency.LEADERSHIP:
+            # Renewals are few and must never wait behind a backlog.
+            with self._lock:
+                self._refill()
+                self._level -= amount
+            ready.callback(None)
+        elif not ahead and self.try_take(amount):
+            ready.callback(None)
+        else:
+            self._waiting[urgency].append((amount, ready))
+            self._arm()
+        return ready
+
+    def waiting(self, urgency: Urgency) -> int:
+        return len(self._waiting[urgency])
+
+    def _arm(self) -> None:
+        if not self._timer_set:
+            self._timer_set = True
+            self._clock.callLater(1.0 / self._rate, self._serve)
+
+    def _serve(self) -> None:
+        self._timer_set = False
+        for urgency in Urgency:
+            queue = self._waiting[urgency]
+            while queue:
+                amount, ready = queue[0]
+                if not self.try_take(amount):
+                    self._arm()
+                    return
+                queue.popleft()
+                ready.callback(None)
--- /dev/null
+++ b/meadowcross/store/client.py
@@ -0,0 +1,180 @@
+"""The state-service client. Every outcome of a transaction is told apart."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from urllib.parse import quote
+
+import msgspec
+
+from meadowcross.common.clock import Clock
+from meadowcross.common.http import HttpClient, NotSent, Reply, Unanswered
+from meadowcross.common.logging import logger
+from meadowcross.common.settings import StateFacts
+from meadowcross.common.types import Address, HoldId, Mark, Seconds
+from meadowcross.store import messages as m
+from meadowcross.store.budget import Budget, Urgency
+
+log = logger("store")
+
+CALL_S: Seconds = 2.0
+SHARE_OF_LEADER = 0.6
+SHARE_OF_OTHERS = 0.2
+
+
+class Unavailable(Exception):
+    """Not executed: an outage, a spent budget, or no connection."""
+
+
+class Unknown(Exception):
+    """No answer: executed, or not, or executed later."""
+
+
+class Refused(Exception):
+    """The service says that the request is malformed or its hold is gone."""
+
+
+class Conflicted(Exception):
+    """A condition did not hold; nothing was written."""
+
+    def __init__(self, failed: Sequence[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = list(failed)
+
+
+class WatchTooOld(Exception):
+    """The watch has missed changes: read the keys again."""
+
+
+class StoreClient:
+    def __init__(self, clock: Clock, http: HttpClient, address: Address, facts: StateFacts) -> None:
+        self._clock = clock
+        self._http = http
+        self._address = address
+        self._facts = facts
+        self.max_changes = facts.txn_ops
+        self.max_conditions = 4 * facts.txn_ops
+        self.max_value = int(facts.value_kb * 1024)
+        self.failing_since: float | None = None
+        self.set_share(SHARE_OF_OTHERS)
+
+    def set_share(self, share: float) -> None:
+        """Three nodes share the limits: the leader gets the larger part."""
+        self._requests = Budget(self._clock, self._facts.rps * share, self._facts.rps * share)
+        self._writes = Budget(self._clock, self._facts.write_rps * share, self._facts.write_rps * share)
+
+    @property
+    def write_budget(self) -> Budget:
+        return self._writes
+
+    def answering(self) -> bool:
+        """Whether the last call was answered properly."""
+        return self.failing_since is None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        urgency: Urgency,
+        timeout: Seconds = CALL_S,
+        spare: bool = False,
+    ) -> Reply:
+        await self._requests.take(1.0, urgency)
+        try:
+            reply = await self._http.call(method, self._address, path, body, timeout)
+        except NotSent as error:
+            self._failed()
+            raise Unavailable(str(error)) from error
+        except Unanswered as error:
+            if not spare:
+                self._failed()
+            raise Unknown(str(error)) from error
+        if reply.status == 429:
+            self._requests.empty_out()
+            raise Unavailable("over the service's rate")
+        if reply.status >= 500:
+            self._failed()
+            raise Unavailable(f"status {reply.status}")
+        self.failing_since = None
+        return reply
+
+    def _failed(self) -> None:
+        if self.failing_since is None:
+            self.failing_since = self._clock.seconds()
+            log.info("state service does not answer properly")
+
+    async def get(self, key: str, urgency: Urgency = Urgency.USER) -> m.Item | None:
+        reply = await self._call("GET", "/kv/" + key, None, urgency)
+        if reply.status == 404:
+            return None
+        if reply.status != 200:
+            raise Refused(f"read of {key}: {reply.status}")
+        return m.decode_item(reply.body)
+
+    async def list(self, prefix: str, urgency: Urgency = Urgency.LEADERSHIP) -> tuple[list[m.Item], Mark]:
+        """All keys under the prefix, and the revision before the first page was read."""
+        items: list[m.Item] = []
+        first: Mark | None = None
+        after = ""
+        while True:
+            since = f"&since={quote(after, safe='/')}" if after else ""
+            reply = await self._call("GET", f"/kv?under={prefix}{since}&limit=1000", None, urgency, 5.0)
+            if reply.status != 200:
+                raise Refused(f"list of {prefix}: {reply.status}")
+            page = m.decode_page(reply.body)
+            # A watch from the first page's revision sees whatever changed in between.
+            first = page.revision if first is None else first
+            items.extend(page.items)
+            if not page.more or not page.items:
+                return items, first
+            after = page.items[-1].key
+
+    async def transact(
+        self,
+        conditions: Sequence[m.Condition],
+        changes: Sequence[m.Put | m.Drop],
+        urgency: Urgency,
+        timeout: Seconds = CALL_S,
+    ) -> Mark:
+        if changes:
+            await self._writes.take(float(len(changes)), urgency)
+        body = m.encode(m.Transaction(list(conditions), list(changes)))
+        reply = await self._call("POST", "/multi", body, urgency, timeout)
+        if reply.status == 200:
+            return m.decode_revision(reply.body).revision
+        if reply.status == 409:
+            raise Conflicted(m.decode_conflict(reply.body).failed)
+        raise Refused(f"transaction: {reply.status} {reply.body[:200]!r}")
+
+    async def open_hold(self, ttl: Seconds) -> HoldId:
+        body = m.encode(m.HoldRequest(int(ttl * 1000)))
+        reply = await self._call("POST", "/holds", body, Urgency.LEADERSHIP)
+        if reply.status != 200:
+            raise Refused(f"hold: {reply.status}")
+        return m.decode_hold(reply.body).hold
+
+    async def renew_hold(self, hold: HoldId, timeout: Seconds) -> bool:
+        """False: the hold has ended."""
+        reply = await self._call("POST", f"/holds/{hold}/renew", b"{}", Urgency.LEADERSHIP, timeout)
+        if reply.status == 404:
+            return False
+        if reply.status != 200:
+            raise Refused(f"renewal: {reply.status}")
+        return True
+
+    async def end_hold(self, hold: HoldId) -> None:
+        await self._call("DELETE", f"/holds/{hold}", None, Urgency.LEADERSHIP)
+
+    async def watch(self, prefix: str, since: Mark, wait: Seconds) -> m.Events:
+        path = f"/watch?under={prefix}&since={since}&waitMs={int(wait * 1000)}"
+        # An open watch says nothing during an outage, so its silence is no failure.
+        reply = await self._call("GET", path, None, Urgency.LEADERSHIP, wait + 5.0, spare=True)
+        if reply.status == 410:
+            raise WatchTooOld(prefix)
+        if reply.status != 200:
+            raise Refused(f"watch of {prefix}: {reply.status}")
+        try:
+            return m.decode_events(reply.body)
+        except msgspec.DecodeError as error:
+            raise Unavailable(f"watch of {prefix}: {error}") from error
--- /dev/null
+++ b/meadowcross/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Reports, commands and what is proven to be on which machine."""
--- /dev/null
+++ b/meadowcross/workers/commands.py
@@ -0,0 +1,134 @@
+"""Direct commands: one request at a time for each worker, every outcome told apart."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorTime
+
+from meadowcross.common.http import HttpClient, NotSent, Unanswered
+from meadowcross.common.logging import logger
+from meadowcross.common.types import MachineId, Seconds, Token
+from meadowcross.jobs.book import Phase, Placement
+from meadowcross.workers import messages as m
+from meadowcross.workers.roster import Machine, Roster, Start
+
+log = logger("workers")
+
+DIRECT_S: Seconds = 3.0
+
+
+class Sender:
+    """Queues starts and stops per machine and sends them in batches."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        http: HttpClient,
+        roster: Roster,
+        token: Token,
+        on_report: Callable[[m.Report], None],
+        on_unsent: Callable[[Placement], None],
+        may_start: Callable[[Placement], bool],
+    ) -> None:
+        self._clock = clock
+        self._http = http
+        self._roster = roster
+        self._token = token
+        self._on_report = on_report
+        self._on_unsent = on_unsent
+        self._may_start = may_start
+        self._starts: dict[MachineId, list[Placement]] = {}
+        self._stops: dict[MachineId, list[Placement]] = {}
+        self._greet: set[MachineId] = set()
+        self._busy: set[MachineId] = set()
+        self._stopped = False
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    def start(self, placement: Placement) -> None:
+        self._starts.setdefault(placement.machine, []).append(placement)
+        self._kick(placement.machine)
+
+    def end(self, placement: Placement) -> None:
+        self._stops.setdefault(placement.machine, []).append(placement)
+        self._kick(placement.machine)
+
+    def greet(self, machine: MachineId) -> None:
+        """Send our token with no commands, so that the answer can prove things."""
+        self._greet.add(machine)
+        self._kick(machine)
+
+    def _kick(self, machine: MachineId) -> None:
+        if machine not in self._busy and not self._stopped:
+            self._busy.add(machine)
+            # A turn of the loop later, so that what is decided together goes together.
+            self._clock.callLater(0, lambda: Deferred.fromCoroutine(self._drain(machine)))
+
+    async def _drain(self, machine_id: MachineId) -> None:
+        try:
+            while not self._stopped:
+                starts = self._starts.pop(machine_id, [])
+                stops = self._stops.pop(machine_id, [])
+                greet = machine_id in self._greet
+                self._greet.discard(machine_id)
+                machine = self._roster.machines.get(machine_id)
+                if machine is None:
+                    return
+                if not (starts or stops or greet):
+                    return
+                await self._send(machine, starts, stops)
+        except Exception:
+            log.exception("sending to %s failed", machine_id)
+        finally:
+            self._busy.discard(machine_id)
+
+    async def _send(self, machine: Machine, starts: list[Placement], stops: list[Placement]) -> None:
+        session = max(1, machine.version.session)
+        ready = []
+        for placement in starts:
+            if machine.addr is not None and machine.condemned is None and self._may_start(placement):
+                ready.append(placement)
+            else:
+                self._on_unsent(placement)
+        commands = [m.Command("start", str(p.task), p.attempt) for p in ready]
+        commands += [m.Command("stop", str(p.task), p.attempt, p.grace) for p in stops]
+        if machine.addr is None:
+            return
+        sent: list[Start] = [(p.task, p.attempt) for p in ready]
+        for placement in ready:
+            placement.phase = Phase.SENT
+        self._roster.starts_sent(machine, session, sent)
+        body = m.encode(m.Direct(self._token, session, commands))
+        try:
+            reply = await self._http.call("POST", machine.addr, "/commands", body, DIRECT_S)
+        except NotSent as error:
+            log.debug("%s not reached: %s", machine.id, error)
+            self._roster.starts_closed(machine, sent)
+            for placement in ready:
+                placement.phase = Phase.STORED
+                self._on_unsent(placement)
+            return
+        except Unanswered as error:
+            # The starts stay open: they may be carried out late, so their tasks stay
+            # pinned to this machine until its session or our token is over there.
+            log.info("%s gave no answer to %d starts: %s", machine.id, len(sent), error)
+            if sent:
+                machine.unanswered = True
+            return
+        if reply.status not in (200, 409):
+            log.error("%s answered %d to commands", machine.id, reply.status)
+            return
+        try:
+            report = m.decode_report(reply.body)
+        except msgspec.DecodeError as error:
+            log.error("%s answered what can't be read: %s", machine.id, error)
+            return
+        # 200: carried out; 409: certainly not. Either way no start is open any more.
+        self._roster.starts_closed(machine, sent)
+        self._on_report(report)
+        if reply.status == 409 and machine.version.session != session:
+            self.greet(machine.id)
--- /dev/null
+++ b/meadowcross/workers/roster.py
@@ -0,0 +1,212 @@
+"""What is proven to be on which machine.
+
+A placement counts as gone only by a newest report that carries our own token and
+lacks it (or shows it ended) while no start for it is open, or by the cloud's answer
+that its machine is deleted. No clock proves anything here.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from threading import RLock
+from typing import NamedTuple
+
+from meadowcross.common.logging import logger
+from meadowcross.common.types import (
+    EPSILON,
+    Address,
+    Attempt,
+    Instant,
+    MachineId,
+    MachineKind,
+    ReportVersion,
+    TaskId,
+    Token,
+)
+from meadowcross.fleet.messages import MachineType
+from meadowcross.jobs.book import Phase, Placement
+from meadowcross.jobs.messages import JobSpec
+from meadowcross.workers import messages as m
+
+log = logger("workers")
+
+PHASES = {
+    m.TaskState.FETCHING: Phase.FETCHING,
+    m.TaskState.WAITING: Phase.WAITING,
+    m.TaskState.RUNNING: Phase.RUNNING,
+    m.TaskState.SAVING: Phase.SAVING,
+}
+
+
+class Change(Enum):
+    DONE = "done"
+    GONE = "gone"
+    RUNS = "runs"
+
+
+class Outcome(NamedTuple):
+    """What a report proved of one placement."""
+
+    change: Change
+    placement: Placement
+    why: str | None = None
+    saved: bool = False
+
+
+Start = tuple[TaskId, Attempt]
+
+
+class Machine:
+    """A rented machine and the placements that count on it."""
+
+    def __init__(self, machine: MachineId, kind: MachineKind, machine_type: MachineType | None, now: Instant) -> None:
+        self.id = machine
+        self.kind = kind
+        self.type = machine_type
+        self.addr: Address | None = None
+        self.rented_at = now
+        self.known_at = now
+        self.version = ReportVersion(0, 0)
+        self.confirmed = False
+        self.heard_at: Instant | None = None
+        self.lost_at: Instant | None = None
+        """Since when a leader that never heard it has been waiting for its report."""
+        self.taken_at: Instant | None = None
+        self.placements: dict[TaskId, Placement] = {}
+        self.open_starts: dict[Start, int] = {}
+        """Direct starts in flight or unanswered, with their session."""
+        self.unanswered = False
+        self.exited: list[m.TaskReport] = []
+        self.strays: list[m.TaskReport] = []
+        self.images: set[str] = set()
+        self.cpus = 0.0
+        self.gpus = 0.0
+        self.memory_gb = 0.0
+        self.idle_since = now
+        self.condemned: str | None = None
+        self.draining = False
+        self.stored = False
+
+    @property
+    def up(self) -> bool:
+        return self.heard_at is not None
+
+    def holds(self, spec: JobSpec, sign: int) -> None:
+        self.cpus += sign * spec.cpus
+        self.gpus += sign * spec.gpus
+        self.memory_gb += sign * spec.memory_gb
+
+    def fits(self, spec: JobSpec) -> bool:
+        kind = self.type
+        return (
+            kind is not None
+            and self.cpus + spec.cpus <= kind.cpus + EPSILON
+            and self.gpus + spec.gpus <= kind.gpus + EPSILON
+            and self.memory_gb + spec.memory_gb <= kind.memory_gb + EPSILON
+        )
+
+
+class HigherToken(Exception):
+    """A worker has seen a higher token: another node leads."""
+
+
+class Roster:
+    def __init__(self, token: Token) -> None:
+        self._lock = RLock()
+        self.token = token
+        self.machines: dict[MachineId, Machine] = {}
+
+    def add(self, machine: Machine) -> Machine:
+        with self._lock:
+            return self.machines.setdefault(machine.id, machine)
+
+    def attach(self, machine: Machine, placement: Placement, spec: JobSpec) -> None:
+        with self._lock:
+            machine.placements[placement.task] = placement
+            machine.holds(spec, 1)
+
+    def detach(self, placement: Placement, spec: JobSpec, now: Instant) -> None:
+        with self._lock:
+            machine = self.machines.get(placement.machine)
+            if machine is None or machine.placements.get(placement.task) is not placement:
+                return
+            del machine.placements[placement.task]
+            machine.holds(spec, -1)
+            if not machine.placements:
+                machine.cpus = machine.gpus = machine.memory_gb = 0.0
+                machine.idle_since = now
+
+    def deleted(self, machine: MachineId) -> list[Placement]:
+        """The cloud's delete answered 200: all that was there is gone."""
+        with self._lock:
+            gone = self.machines.pop(machine, None)
+            return list(gone.placements.values()) if gone else []
+
+    def starts_sent(self, machine: Machine, session: int, starts: list[Start]) -> None:
+        with self._lock:
+            for start in starts:
+                machine.open_starts[start] = session
+
+    def starts_closed(self, machine: Machine, starts: list[Start]) -> None:
+        """Answered, or certainly never sent."""
+        with self._lock:
+            for start in starts:
+                machine.open_starts.pop(start, None)
+
+    def apply(self, machine: Machine, report: m.Report, now: Instant) -> list[Outcome] | None:
+        """Take in a report; None where it is not the newest or proves nothing to us."""
+        with self._lock:
+            if report.token > self.token:
+                raise HigherToken(f"{machine.id} has seen token {report.token}, ours is {self.token}")
+            if report.version <= machine.version:
+                return None
+            if report.version.session > machine.version.session:
+                # The worker accepts no command for an earlier session any more.
+                machine.open_starts = {s: at for s, at in machine.open_starts.items() if at >= report.session}
+            machine.version = report.version
+            machine.heard_at = now
+            machine.addr = report.addr
+            if report.notice_s is None:
+                machine.taken_at = None
+            elif machine.taken_at is None or now + report.notice_s < machine.taken_at:
+                machine.taken_at = Instant(now + report.notice_s)
+            if report.token < self.token:
+                # Commands of an earlier leader may still reach it: proves nothing.
+                return None
+            machine.confirmed = True
+            return self._facts(machine, report, now)
+
+    def _facts(self, machine: Machine, report: m.Report, now: Instant) -> list[Outcome]:
+        outcomes: list[Outcome] = []
+        seen: dict[Start, m.TaskReport] = {}
+        machine.exited = []
+        machine.strays = []
+        for task in report.tasks:
+            start = (TaskId.parse(task.task), Attempt(task.attempt))
+            seen[start] = task
+            if task.state is m.TaskState.EXITED:
+                if start not in machine.open_starts:
+                    machine.exited.append(task)
+                # Else a late start could run it again once it is reaped.
+            else:
+                placement = machine.placements.get(start[0])
+                if placement is None or placement.attempt != start[1]:
+                    machine.strays.append(task)
+        for placement in list(machine.placements.values()):
+            if not placement.started:
+                continue
+            start = (placement.task, placement.attempt)
+            shown = seen.get(start)
+            if shown is None:
+                if start not in machine.open_starts:
+                    outcomes.append(Outcome(Change.GONE, placement, "lost"))
+            elif shown.state is m.TaskState.EXITED:
+                change = Change.DONE if shown.why == m.DONE else Change.GONE
+                outcomes.append(Outcome(change, placement, shown.why, shown.saved))
+            else:
+                phase = PHASES[shown.state]
+                if phase is Phase.RUNNING and placement.running_at is None:
+                    placement.running_at = now
+                    outcomes.append(Outcome(Change.RUNS, placement))
+                placement.phase = phase
+        return outcomes
