--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -53,7 +53,7 @@
     from twisted.internet import reactor
 
     Node(reactor, settings, operator).start()
-    reactor.run()  # type: ignore[attr-defined]
+    reactor.run()  # type: ignore[misc]
     return 0
 
 
--- a/meadowcross/common/http.py
+++ b/meadowcross/common/http.py
@@ -13,14 +13,13 @@
 from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
 
-from meadowcross.common.clock import Clock
 from meadowcross.common.logging import logger
 from meadowcross.common.types import Address
 
 log = logger("common")
 
 MAX_BODY = 64 * 1024
-KEEP_OPEN_S = 90.0
+KEEP_OPEN_S = 90
 
 
 class NotSent(Exception):
@@ -40,7 +39,7 @@
     """Kept-open connections, one request at a time on each, never retried here."""
 
     def __init__(self, reactor: Any, per_host: int = 6) -> None:
-        self._clock: Clock = reactor
+        self._clock: Any = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = per_host
         self._pool.cachedConnectionTimeout = KEEP_OPEN_S
@@ -57,7 +56,7 @@
         agent = self._agents.get(connect)
         if agent is None:
             agent = self._agents[connect] = Agent(self._reactor, connectTimeout=connect, pool=self._pool)
-        producer = None if body is None else FileBodyProducer(BytesIO(body), cooperator=_Immediate())
+        producer: Any = None if body is None else FileBodyProducer(BytesIO(body), cooperator=_Immediate())
         url = f"http://{address}{path}".encode()
         request = agent.request(method.encode(), url, Headers({}), producer)
         request.addTimeout(timeout, self._clock)
@@ -74,7 +73,7 @@
         except Exception as error:
             raise Unanswered(f"{address}: {type(error).__name__}") from error
 
-    def close(self) -> Deferred[None]:
+    def close(self) -> Any:
         return self._pool.closeCachedConnections()
 
 
--- a/meadowcross/common/types.py
+++ b/meadowcross/common/types.py
@@ -23,18 +23,18 @@
 
 
 class TaskId(NamedTuple):
-    """One task of a job; written `job/index` on the wire."""
+    """One task of a job; written `job/number` on the wire."""
 
     job: JobId
-    index: int
+    number: int
 
     def __str__(self) -> str:
-        return f"{self.job}/{self.index}"
+        return f"{self.job}/{self.number}"
 
     @staticmethod
     def parse(text: str) -> TaskId:
-        job, _, index = text.rpartition("/")
-        return TaskId(JobId(job), int(index))
+        job, _, number = text.rpartition("/")
+        return TaskId(JobId(job), int(number))
 
 
 class ReportVersion(NamedTuple):
--- a/meadowcross/fleet/catalog.py
+++ b/meadowcross/fleet/catalog.py
@@ -3,13 +3,11 @@
 
 from __future__ import annotations
 
-from twisted.internet.interfaces import IReactorTime
-
+from meadowcross.common.clock import Clock, pause
 from meadowcross.common.logging import logger
 from meadowcross.common.types import Seconds
 from meadowcross.fleet import messages as m
 from meadowcross.fleet.cloud import Cloud, CloudTrouble
-from meadowcross.leadership.election import pause
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown
 from meadowcross.store.messages import Condition, Put, raw
@@ -21,7 +19,7 @@
 
 
 class Catalog:
-    def __init__(self, clock: IReactorTime, cloud: Cloud, store: StoreClient) -> None:
+    def __init__(self, clock: Clock, cloud: Cloud, store: StoreClient) -> None:
         self._clock = clock
         self._cloud = cloud
         self._store = store
--- a/meadowcross/fleet/cloud.py
+++ b/meadowcross/fleet/cloud.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import msgspec
-from twisted.internet.interfaces import IReactorTime
 
+from meadowcross.common.clock import Clock
 from meadowcross.common.http import HttpClient, NotSent, Reply, Unanswered
 from meadowcross.common.logging import logger
 from meadowcross.common.settings import CloudFacts
@@ -27,7 +27,7 @@
 
 
 class Cloud:
-    def __init__(self, clock: IReactorTime, http: HttpClient, address: Address, facts: CloudFacts) -> None:
+    def __init__(self, clock: Clock, http: HttpClient, address: Address, facts: CloudFacts) -> None:
         self._http = http
         self._address = address
         # The burst that the cloud allows is two seconds' worth; keep one for the others.
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -7,16 +7,16 @@
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
+from meadowcross.common.clock import Clock
 from meadowcross.common.logging import logger
 from meadowcross.common.settings import Operator, Settings
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds, Token
 from meadowcross.fleet import messages as m
 from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from meadowcross.fleet.sizing import MIN_CHARGE_S, Coming, Need, Rental, plan
-from meadowcross.jobs.book import Book, Phase
+from meadowcross.jobs.book import Book, Phase, Placement
 from meadowcross.placement.engine import Room, Want, order
 from meadowcross.workers.commands import Sender
 from meadowcross.workers.roster import Machine, Roster
@@ -44,13 +44,13 @@
     def wants(self) -> list[Want]: ...
     def rooms(self) -> dict[str, Room]: ...
     def offerable(self, machine: Machine) -> bool: ...
-    def stop_task(self, placement: object, grace: Seconds) -> None: ...
+    def stop_task(self, placement: Placement, grace: Seconds) -> None: ...
 
 
 class FleetManager:
     def __init__(
         self,
-        clock: IReactorTime,
+        clock: Clock,
         settings: Settings,
         operator: Operator,
         cloud: Cloud,
@@ -74,7 +74,7 @@
         self._listing = False
         self._began = Instant(clock.seconds())
         self._tick = LoopingCall(self._on_tick)
-        self._tick.clock = clock
+        self._tick.clock = clock  # type: ignore[assignment]
 
     @property
     def now(self) -> Instant:
@@ -217,7 +217,7 @@
         for machine in self._leader.roster.machines.values():
             if machine.condemned is not None or machine.placements or not machine.up:
                 continue
-            idle = now - max(machine.idle_since, machine.heard_at if machine.heard_at is None else machine.idle_since)
+            idle = now - machine.idle_since
             if idle > self._operator.idle_keep_s and now - machine.rented_at > MIN_CHARGE_S:
                 self.condemn(machine, f"idle for {idle:.0f} s")
 
@@ -253,9 +253,9 @@
             coming.append(
                 Coming(
                     rental.kind,
-                    kind.cpus * rental.count,
-                    kind.gpus * rental.count,
-                    kind.memory_gb * rental.count,
+                    kind.cpus * rental.machines,
+                    kind.gpus * rental.machines,
+                    kind.memory_gb * rental.machines,
                 )
             )
         now = self.now
@@ -288,7 +288,7 @@
     async def _rent_one(self, request: str, rental: Rental) -> None:
         kind = rental.kind
         try:
-            names = await self._cloud.rent(request, kind, min(rental.count, m.MAX_RENT))
+            names = await self._cloud.rent(request, kind, min(rental.machines, m.MAX_RENT))
         except NoCapacity:
             log.info("rental %s: no capacity for %s", request, kind)
             self._closed[kind] = self.now + CLOSED_S
@@ -300,8 +300,8 @@
             return
         finally:
             del self._renting[request]
-        log.info("rental %s: %d of %d %s", request, len(names), rental.count, kind)
-        if len(names) < min(rental.count, m.MAX_RENT):
+        log.info("rental %s: %d of %d %s", request, len(names), rental.machines, kind)
+        if len(names) < min(rental.machines, m.MAX_RENT):
             self._closed[kind] = self.now + CLOSED_S
         if not self._tick.running:
             return
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -37,7 +37,7 @@
 
 class Rental(NamedTuple):
     kind: MachineKind
-    count: int
+    machines: int
 
 
 def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -74,10 +74,10 @@
     for name, need, most in (("cpus", spec.cpus, team.cpus_max), ("gpus", spec.gpus, team.gpus_max)):
         if most > 0 and need * at_once > most + EPSILON:
             return f"needs more {name} than the team's limit of {most:g}"
-    if spec.spread and spec.tasks > 1 and spec.kind is not m.Kind.ARRAY:
-        # Half the tasks, rounded up, may be in one zone, so the rest needs another.
-        if spec.one_zone or spec.zone is not None or len(set().union(*(t.zones for t in fitting))) < 2:
-            return "the job's zones can't be spread"
+    zones_open = {spec.zone} if spec.zone is not None else set().union(*(t.zones for t in fitting))
+    # Half the tasks, rounded up, may be in one zone, so the rest needs another.
+    if spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones_open) < 2):
+        return "the job's zones can't be spread"
     return None
 
 
@@ -141,8 +141,6 @@
             spec = m.decode_spec(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             return reason(400, str(error))
-        if spec.spread and spec.one_zone and spec.tasks > 1 and spec.kind is m.Kind.ARRAY:
-            return reason(400, "oneZone and scatter exclude each other")
         job = JobId(spec.id)
         types = self._types()
         if not types:
--- a/meadowcross/jobs/book.py
+++ b/meadowcross/jobs/book.py
@@ -218,23 +218,23 @@
         """The placement is proven gone, or its start was never sent: the task waits again."""
         with self._lock:
             job = self.jobs.get(placement.task.job)
-            if job is None or job.placed.get(placement.task.index) is not placement:
+            if job is None or job.placed.get(placement.task.number) is not placement:
                 return
-            del job.placed[placement.task.index]
+            del job.placed[placement.task.number]
             self._count(job, -1)
-            job.give_back(placement.task.index)
-            self.mark_dirty(job, placement.task.index, False)
+            job.give_back(placement.task.number)
+            self.mark_dirty(job, placement.task.number, False)
 
     def task_done(self, placement: Placement) -> None:
         with self._lock:
             job = self.jobs.get(placement.task.job)
-            if job is None or job.placed.get(placement.task.index) is not placement:
+            if job is None or job.placed.get(placement.task.number) is not placement:
                 return
-            del job.placed[placement.task.index]
+            del job.placed[placement.task.number]
             self._count(job, -1)
-            job.done[placement.task.index] = 1
+            job.done[placement.task.number] = 1
             job.done_count += 1
-            self.mark_dirty(job, placement.task.index, False)
+            self.mark_dirty(job, placement.task.number, False)
 
     def learn_run(self, job: Job, seconds: Seconds) -> None:
         """Correct the owners' estimates of the class by what was seen."""
--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -13,7 +13,7 @@
 
 from meadowcross.common.clock import Clock, pause
 from meadowcross.common.logging import logger
-from meadowcross.common.types import HoldId, NodeName, Seconds, Token
+from meadowcross.common.types import HoldId, Mark, NodeName, Seconds, Token
 from meadowcross.leadership.messages import LEADER_KEY, LeaderRecord, decode_leader
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
@@ -86,14 +86,14 @@
             if item.hold is not None:
                 await self._store.end_hold(item.hold)
                 return
-        await self._await_vacancy(sm.Mark(item.mark))
+        await self._await_vacancy(Mark(item.mark))
 
     async def _stand(self) -> None:
         if self._hold is None or not await self._store.renew_hold(self._hold, self._hold_s):
             self._hold = await self._store.open_hold(self._hold_s)
         try:
             await self._store.transact(
-                [sm.Condition(LEADER_KEY, sm.Mark(0))],
+                [sm.Condition(LEADER_KEY, Mark(0))],
                 [sm.Put(LEADER_KEY, sm.raw(self._record), self._hold)],
                 Urgency.LEADERSHIP,
             )
@@ -104,7 +104,7 @@
             raise
         # Won, lost or unknown: the next round reads the key, which alone decides.
 
-    async def _await_vacancy(self, since: sm.Mark) -> None:
+    async def _await_vacancy(self, since: Mark) -> None:
         revision = since
         while True:
             try:
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -60,7 +60,7 @@
 
 class _Caller(ReconnectingClientFactory):
     initialDelay = 0.3
-    maxDelay = 2.0
+    maxDelay = 2.0  # type: ignore[assignment]
     factor = 1.5
     noisy = False
 
@@ -111,7 +111,7 @@
             peer_host, _, peer_port = peer.endpoint.rpartition(":")
             reactor.connectTCP(peer_host, int(peer_port), _Caller(self, NodeName(peer.host_name)), timeout=2)
         loop = LoopingCall(self._send_beats)
-        loop.clock = self._clock
+        loop.clock = self._clock  # type: ignore[assignment]
         loop.start(BEAT_S)
 
     def opened(self, peer: NodeName, line: _Line) -> None:
@@ -158,7 +158,7 @@
         answer: Deferred[tuple[int, int] | None] = Deferred()
         self._questions[number] = answer
         line.send(m.ProgressQuestion(number, job))
-        answer.addTimeout(ANSWER_S, self._clock)
+        answer.addTimeout(ANSWER_S, self._clock)  # type: ignore[arg-type]
         try:
             return await answer
         except Exception:
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -432,7 +432,7 @@
         return build
 
     def _stored(self, job: Job, placement: Placement) -> None:
-        if job.placed.get(placement.task.index) is not placement:
+        if job.placed.get(placement.task.number) is not placement:
             return
         placement.phase = Phase.STORED
         self.sender.start(placement)
@@ -443,14 +443,14 @@
             not self._stopped
             and job is not None
             and job.cancelled is None
-            and job.placed.get(placement.task.index) is placement
+            and job.placed.get(placement.task.number) is placement
             and placement.phase is Phase.STORED
         )
 
     def _on_unsent(self, placement: Placement) -> None:
         """The start was certainly not sent: the task is nowhere."""
         job = self.book.jobs.get(placement.task.job)
-        if job is None or placement.started or job.placed.get(placement.task.index) is not placement:
+        if job is None or placement.started or job.placed.get(placement.task.number) is not placement:
             return
         self.roster.detach(placement, job.spec, self.now)
         self.book.gone(placement)
@@ -492,7 +492,7 @@
             if self._stopped:
                 return
             if key == LEADER_KEY:
-                if item is None or item.mark != self.token:
+                if item is None or item.mark != self._leader_condition.mark:
                     self._stand_down("the leader key is no longer ours")
                     return
             elif key.startswith(jm.CHUNKS):
--- a/meadowcross/store/budget.py
+++ b/meadowcross/store/budget.py
@@ -7,7 +7,8 @@
 from threading import Lock
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
+
+from meadowcross.common.clock import Clock
 
 
 class Urgency(IntEnum):
@@ -22,7 +23,7 @@
 class Budget:
     """A bucket of `burst` refilled at `rate` a second; waiters queue by urgency."""
 
-    def __init__(self, clock: IReactorTime, rate: float, burst: float) -> None:
+    def __init__(self, clock: Clock, rate: float, burst: float) -> None:
         self._clock = clock
         self._rate = rate
         self._burst = max(burst, 1.0)
--- a/meadowcross/workers/commands.py
+++ b/meadowcross/workers/commands.py
@@ -6,8 +6,8 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
 
+from meadowcross.common.clock import Clock
 from meadowcross.common.http import HttpClient, NotSent, Unanswered
 from meadowcross.common.logging import logger
 from meadowcross.common.types import MachineId, Seconds, Token
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        clock: IReactorTime,
+        clock: Clock,
         http: HttpClient,
         roster: Roster,
         token: Token,
