--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -136,6 +136,8 @@
     hold_s: float = 3.0
     idle_keep_s: float = 20.0
     silent_s: float = 8.0
+    drain_after_s: float = 10.0
+    spare_percent: float = 15.0
 
 
 BOUNDS = {
@@ -153,6 +155,8 @@
     "hold_s": Bound("seconds", 0.5, 60),
     "idle_keep_s": Bound("seconds", 0, 86400),
     "silent_s": Bound("seconds", 2, 600),
+    "drain_after_s": Bound("seconds", 0, 86400),
+    "spare_percent": Bound("percent", 0, 1000),
 }
 
 
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -15,7 +15,7 @@
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds, Token
 from meadowcross.fleet import messages as m
 from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
-from meadowcross.fleet.sizing import MIN_CHARGE_S, Coming, Need, Rental, plan
+from meadowcross.fleet.sizing import MIN_CHARGE_S, Coming, Held, Need, Rental, plan, price_of, surplus
 from meadowcross.jobs.book import Book, Phase, Placement
 from meadowcross.placement.engine import Room, Want, order
 from meadowcross.workers.commands import Sender
@@ -28,6 +28,8 @@
 BOOT_PATIENCE = 3.0
 MAX_DELETED = 5_000
 LIST_FACTOR = 1.5
+SETTLED_S: Seconds = 30.0
+"""A start counts for the aims if no command stops it within this time."""
 
 
 class Leader(Protocol):
@@ -71,6 +73,7 @@
         self._listed: set[MachineId] = set()
         self._missing: dict[MachineId, int] = {}
         self._list_at = 0.0
+        self._wanted_at = 0.0
         self._listing = False
         self._began = Instant(clock.seconds())
         self._tick = LoopingCall(self._on_tick)
@@ -213,14 +216,51 @@
     def _return_idle(self) -> None:
         now = self.now
         if self._leader.wants():
+            self._wanted_at = now
+            for machine in self._leader.roster.machines.values():
+                machine.draining = False
             return
+        if now - self._wanted_at > self._operator.drain_after_s:
+            self._drain()
         for machine in self._leader.roster.machines.values():
             if machine.condemned is not None or machine.placements or not machine.up:
                 continue
             idle = now - machine.idle_since
-            if idle > self._operator.idle_keep_s and now - machine.rented_at > MIN_CHARGE_S:
+            keep = 0.0 if machine.draining else self._operator.idle_keep_s
+            if idle >= keep and now - machine.rented_at >= MIN_CHARGE_S:
                 self.condemn(machine, f"idle for {idle:.0f} s")
 
+    def _drain(self) -> None:
+        """Stop offering what the work at hand doesn't need; move what can be saved."""
+        held = [
+            Held(x.id, x.type.cpus, x.cpus, x.type.memory_gb, x.memory_gb, price_of(x.kind, x.type))
+            for x in self._leader.roster.machines.values()
+            if x.type is not None and (x.draining or self._leader.offerable(x))
+        ]
+        chosen = set(surplus(held, self._operator.spare_percent / 100))
+        for machine in self._leader.roster.machines.values():
+            if machine.draining != (machine.id in chosen):
+                machine.draining = not machine.draining
+                log.debug("machine %s draining: %s", machine.id, machine.draining)
+            if machine.draining:
+                self._move_off(machine)
+
+    def _move_off(self, machine: Machine) -> None:
+        """Saved progress goes on elsewhere; what can't be saved may end here."""
+        now = self.now
+        for placement in list(machine.placements.values()):
+            job = self._leader.book.jobs.get(placement.task.job)
+            if (
+                job is not None
+                and not job.is_gang
+                and job.spec.checkpoint_s > 0
+                and placement.phase is Phase.RUNNING
+                and placement.running_at is not None
+                and now - placement.running_at > SETTLED_S
+                and self._leader.book.expected_run(job.spec) - (now - placement.running_at) > 2 * job.spec.save_s
+            ):
+                self._leader.stop_task(placement, 2 * job.spec.save_s + 1.0)
+
     # Rentals
 
     def _rent(self) -> None:
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from meadowcross.common.types import EPSILON, MachineKind, Seconds
+from meadowcross.common.types import EPSILON, MachineId, MachineKind, Seconds
 from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs.messages import JobSpec
 from meadowcross.placement.engine import allowed
@@ -35,6 +35,38 @@
     memory_gb: float
 
 
+@dataclass(slots=True)
+class Held:
+    """A machine that may be drained: what it offers, what is on it, what it costs."""
+
+    machine: MachineId
+    cpus: float
+    used_cpus: float
+    memory_gb: float
+    used_memory: float
+    price: float
+
+    @property
+    def price_per_cpu(self) -> float:
+        return self.price / self.cpus
+
+
+def surplus(held: Iterable[Held], spare_share: float) -> list[MachineId]:
+    """Machines to drain, dearest room first: the rest holds what all of them hold now,
+    and `spare_share` more. Only which machines are offered changes; the score decides
+    among those, so spreading does not keep every machine a little busy."""
+    machines = sorted(held, key=lambda h: (-h.price_per_cpu, h.used_cpus / h.cpus, h.machine))
+    cpus = sum(h.cpus for h in machines) - sum(h.used_cpus for h in machines) * (1 + spare_share)
+    memory = sum(h.memory_gb for h in machines) - sum(h.used_memory for h in machines) * (1 + spare_share)
+    drained = []
+    for one in machines:
+        if one.cpus <= cpus + EPSILON and one.memory_gb <= memory + EPSILON:
+            cpus -= one.cpus
+            memory -= one.memory_gb
+            drained.append(one.machine)
+    return drained
+
+
 class Rental(NamedTuple):
     kind: MachineKind
     machines: int
@@ -67,6 +99,10 @@
     return left
 
 
+def price_of(kind: MachineKind, machine_type: MachineType) -> float:
+    return machine_type.spot_price if kind.spot else machine_type.price
+
+
 def cost_of(kind: MachineKind, machine_type: MachineType, need: Need, count: int) -> tuple[float, int] | None:
     """Money for `count` tasks on this kind, and the machines it takes.
 
@@ -77,7 +113,7 @@
     if per_machine == 0:
         return None
     machines = math.ceil(count / per_machine)
-    price = machine_type.spot_price if kind.spot else machine_type.price
+    price = price_of(kind, machine_type)
     fetch = need.spec.image_gb / max(machine_type.fetch_gb_per_s, 0.01)
     paid_s = max(MIN_CHARGE_S, machine_type.boot_s + fetch + need.run_s)
     used = count / (machines * per_machine)
