--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -134,7 +134,8 @@
     move_lead_points: float = 25.0
     move_age_s: float = 600.0
     hold_s: float = 3.0
-    idle_keep_s: float = 20.0
+    idle_keep_boots: float = 0.7
+    dear_multiple: float = 2.0
     silent_s: float = 8.0
     drain_after_s: float = 10.0
     spare_percent: float = 15.0
@@ -153,7 +154,8 @@
     "move_lead_points": Bound("points", 0, 1000),
     "move_age_s": Bound("seconds", 0, 86400),
     "hold_s": Bound("seconds", 0.5, 60),
-    "idle_keep_s": Bound("seconds", 0, 86400),
+    "idle_keep_boots": Bound("boot times", 0, 1000),
+    "dear_multiple": Bound("times the cheapest price of a CPU", 1, 1000),
     "silent_s": Bound("seconds", 2, 600),
     "drain_after_s": Bound("seconds", 0, 86400),
     "spare_percent": Bound("percent", 0, 1000),
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -15,7 +15,18 @@
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds, Token
 from meadowcross.fleet import messages as m
 from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
-from meadowcross.fleet.sizing import MIN_CHARGE_S, Coming, Held, Need, Rental, plan, price_of, surplus
+from meadowcross.fleet.sizing import (
+    MIN_CHARGE_S,
+    Coming,
+    Held,
+    Need,
+    Rental,
+    dear_kinds,
+    plan,
+    press,
+    price_of,
+    surplus,
+)
 from meadowcross.jobs.book import Book, Phase, Placement
 from meadowcross.placement.engine import Room, Want, order
 from meadowcross.workers.commands import Sender
@@ -74,6 +85,9 @@
         self._missing: dict[MachineId, int] = {}
         self._list_at = 0.0
         self._wanted_at = 0.0
+        self._pressed_at = 0.0
+        self._needs: list[Need] = []
+        self._dear: set[MachineKind] = set()
         self._listing = False
         self._began = Instant(clock.seconds())
         self._tick = LoopingCall(self._on_tick)
@@ -106,6 +120,8 @@
 
     def _on_tick(self) -> None:
         try:
+            self._dear = dear_kinds(self._types(), self._operator.dear_multiple)
+            self._see_needs()
             self._look_after()
             self._return_idle()
             self._delete_condemned()
@@ -214,22 +230,36 @@
             self._deleted.popitem(last=False)
 
     def _return_idle(self) -> None:
+        """Drain and return by what waits: nothing; nothing pressed; something pressed."""
         now = self.now
-        if self._leader.wants():
+        if any(need.pressed for need in self._needs):
+            self._pressed_at = now
+        if self._needs:
             self._wanted_at = now
-            for machine in self._leader.roster.machines.values():
-                machine.draining = False
-            return
+        roster = self._leader.roster.machines.values()
         if now - self._wanted_at > self._operator.drain_after_s:
             self._drain()
-        for machine in self._leader.roster.machines.values():
+        elif now - self._pressed_at > self._operator.drain_after_s:
+            for machine in roster:
+                machine.draining = machine.kind in self._dear and machine.up
+                if machine.draining:
+                    self._move_off(machine)
+        else:
+            for machine in roster:
+                machine.draining = False
+        for machine in roster:
             if machine.condemned is not None or machine.placements or not machine.up:
                 continue
             idle = now - machine.idle_since
-            keep = 0.0 if machine.draining else self._operator.idle_keep_s
-            if idle >= keep and now - machine.rented_at >= MIN_CHARGE_S:
+            keep = 0.0 if machine.kind in self._dear and machine.draining else self._keep_s(machine)
+            if (machine.draining or not self._needs) and idle >= keep and now - machine.rented_at >= MIN_CHARGE_S:
                 self.condemn(machine, f"idle for {idle:.0f} s")
 
+    def _keep_s(self, machine: Machine) -> Seconds:
+        """An idle machine may cost as much as the boot that returning it may bring."""
+        boot = machine.type.boot_s if machine.type is not None else 0.0
+        return self._operator.idle_keep_boots * boot
+
     def _drain(self) -> None:
         """Stop offering what the work at hand doesn't need; move what can be saved."""
         held = [
@@ -263,22 +293,28 @@
 
     # Rentals
 
-    def _rent(self) -> None:
-        types = {t.name: t for t in self._types()}
-        now = self.now
-        if not types or now - self._began < 1.0:
-            return
+    def _see_needs(self) -> None:
         rooms = self._leader.rooms()
-        needs = []
+        self._needs = []
+        slacks = []
         for want in sorted(self._leader.wants(), key=order):
             count = min(want.count, rooms[want.spec.team].tasks(want.spec))
             rooms[want.spec.team].take(want.spec, count)
             if count:
-                needs.append(Need(want.spec, count, self._leader.book.expected_run(want.spec)))
-        if not needs:
+                self._needs.append(Need(want.spec, count, self._leader.book.expected_run(want.spec)))
+                slacks.append(want.slack)
+        cpus = sum(
+            x.type.cpus for x in self._leader.roster.machines.values() if x.type is not None and x.condemned is None
+        )
+        press(self._needs, slacks, cpus)
+
+    def _rent(self) -> None:
+        types = {t.name: t for t in self._types()}
+        now = self.now
+        if not types or not self._needs or now - self._began < 1.0:
             return
         closed = {kind for kind, until in self._closed.items() if until > now}
-        for rental in plan(needs, self._coming(types), types, closed):
+        for rental in plan(self._needs, self._coming(types), types, closed, self._dear):
             self._counter += 1
             # Token and counter: no node ever uses the name of a request again.
             request = f"r-{self._leader.token}-{self._counter}"
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -23,6 +23,8 @@
     spec: JobSpec
     count: int
     run_s: Seconds
+    pressed: bool = True
+    """It would miss its deadline if it waited for the capacity there is."""
 
 
 @dataclass(slots=True)
@@ -82,6 +84,27 @@
     return int(most + EPSILON)
 
 
+def dear_kinds(types: Iterable[MachineType], multiple: float) -> set[MachineKind]:
+    """Kinds whose CPUs cost more than `multiple` times the cheapest: paid only under pressure."""
+    prices = {
+        MachineKind(t.name, zone, spot): (t.spot_price if spot else t.price) / t.cpus
+        for t in types
+        for zone in t.zones
+        for spot in (True, False)
+    }
+    cheapest = min(prices.values(), default=0.0)
+    return {kind for kind, price in prices.items() if price > multiple * cheapest}
+
+
+def press(needs: list[Need], slacks: list[Seconds], cpus: float) -> None:
+    """Mark the needs, given in queue order, whose slack is shorter than the wait that
+    the work ahead of them makes on `cpus`."""
+    ahead = 0.0
+    for need, slack in zip(needs, slacks, strict=True):
+        ahead += need.count * need.spec.cpus * need.run_s
+        need.pressed = cpus <= 0 or slack < ahead / cpus
+
+
 def absorb(need: Need, coming: Iterable[Coming]) -> int:
     """Put the need's tasks into room that is on its way; returns what is left over."""
     spec = need.spec
@@ -125,6 +148,7 @@
     coming: list[Coming],
     types: dict[str, MachineType],
     closed: set[MachineKind],
+    dear: set[MachineKind],
 ) -> list[Rental]:
     """Rentals for the needs, cheapest useful capacity first. `closed` has no capacity now."""
     rentals: dict[MachineKind, int] = {}
@@ -139,6 +163,8 @@
                     kind = MachineKind(machine_type.name, zone, spot)
                     if kind in closed or not allowed(need.spec, kind):
                         continue
+                    if kind in dear and need.spec.spot and not need.pressed:
+                        continue
                     cost = cost_of(kind, machine_type, need, left)
                     if cost is not None:
                         options.append((cost[0], rentals.get(kind, 0), kind, cost[1]))
