--- a/meadowcross/common/http.py
+++ b/meadowcross/common/http.py
@@ -19,6 +19,7 @@
 log = logger("common")
 
 MAX_BODY = 64 * 1024
+MAX_DROPPED = 1024 * 1024
 KEEP_OPEN_S = 90
 
 
@@ -148,33 +149,36 @@
 
     router: Router
     too_large = False
+    dropped = 0
 
     def gotLength(self, length: int | None) -> None:
         if length is not None and length > MAX_BODY:
-            self.too_large = True
             self._refuse_body()
             length = 0
         super().gotLength(length)
 
     def handleContentChunk(self, data: bytes) -> None:
         if self.too_large:
+            self.dropped += len(data)
+            if self.dropped > MAX_DROPPED and self.channel is not None:
+                self.channel.loseConnection()
             return
         if self.content is not None and self.content.tell() + len(data) > MAX_BODY:
-            self.too_large = True
             self._refuse_body()
             return
         super().handleContentChunk(data)
 
     def _refuse_body(self) -> None:
-        """Answer before the rest of an oversized body has come, then close."""
+        """Answer before the rest of an oversized body has come. What still comes is read
+        and dropped: closing on unread data would reset the connection and lose the answer."""
+        self.too_large = True
         self.clientproto = b"HTTP/1.1"
         self.setHeader(b"connection", b"close")
-        self._write(reason(413, f"a body holds at most {MAX_BODY} bytes"))
-        if self.channel is not None:
-            self.channel.loseConnection()
+        self._put(reason(413, f"a body holds at most {MAX_BODY} bytes"))
 
     def process(self) -> None:
-        if self.too_large or self.finished:
+        if self.too_large:
+            self.finish()
             return
         path = self.path.decode("utf-8", "replace") if self.path else "/"
         found = self.router.find(self.method.decode("ascii", "replace"), path)
@@ -201,15 +205,17 @@
         self._write(reason(500, "internal error", 1))
 
     def _write(self, answer: Answer) -> None:
-        if self.finished or self._disconnected:
-            return
+        if not self.finished and not self._disconnected:
+            self._put(answer)
+            self.finish()
+
+    def _put(self, answer: Answer) -> None:
         self.setResponseCode(answer.status)
         self.setHeader(b"content-type", b"application/json")
         self.setHeader(b"content-length", b"%d" % len(answer.body))
         if answer.retry_after is not None:
             self.setHeader(b"retry-after", b"%d" % answer.retry_after)
         self.write(answer.body)
-        self.finish()
 
 
 def api_factory(router: Router, reactor: Any) -> http.HTTPFactory:
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,321 @@
+"""Stand-ins for the state service, the cloud and workers, written from the protocol.
+
+Each answers `handle(method, path, query, body)` with a status and a JSON value, so the
+same code serves the fake network of the unit tests and real sockets on loopback.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from meadowcross.common.http import NotSent, Reply, Unanswered
+
+Answer = tuple[int, Any]
+
+
+class StateService:
+    def __init__(self, seconds: Callable[[], float]) -> None:
+        self.seconds = seconds
+        self.lock = threading.Condition()
+        self.keys: dict[str, dict[str, Any]] = {}
+        self.revision = 0
+        self.holds: dict[int, tuple[float, float]] = {}
+        self.log: list[dict[str, Any]] = []
+        self.outage = False
+        self.txn_ops = 24
+
+    def expire(self) -> None:
+        for hold, (until, _) in list(self.holds.items()):
+            if self.seconds() > until and not self.outage:
+                self.end_hold(hold)
+
+    def end_hold(self, hold: int) -> None:
+        del self.holds[hold]
+        for key in [k for k, v in self.keys.items() if v.get("tether") == hold]:
+            self.revision += 1
+            del self.keys[key]
+            self.log.append({"drop": key, "mark": self.revision})
+        self.lock.notify_all()
+
+    def handle(self, method: str, path: str, query: dict[str, str], body: bytes) -> Answer:
+        with self.lock:
+            if self.outage:
+                return 503, {}
+            self.expire()
+            if path == "/multi":
+                return self.transact(json.loads(body))
+            if path == "/holds":
+                hold = len(self.log) + len(self.holds) + 1000 + self.revision
+                while hold in self.holds:
+                    hold += 1
+                ttl = json.loads(body)["ttlMs"] / 1000
+                self.holds[hold] = (self.seconds() + ttl, ttl)
+                return 200, {"tether": hold}
+            if path.startswith("/holds/"):
+                hold = int(path.split("/")[2])
+                if hold not in self.holds:
+                    return 404, {}
+                if method == "DELETE":
+                    self.end_hold(hold)
+                else:
+                    self.holds[hold] = (self.seconds() + self.holds[hold][1], self.holds[hold][1])
+                return 200, {}
+            if path.startswith("/kv/"):
+                item = self.keys.get(path[4:])
+                return (200, item) if item else (404, {"ledger": self.revision})
+            under, since = query["under"], query.get("since", "")
+            names = sorted(k for k in self.keys if k.startswith(under) and k > since)
+            limit = int(query.get("limit", 1000))
+            items = [self.keys[k] for k in names[:limit]]
+            return 200, {"items": items, "hasNext": len(names) > limit, "ledger": self.revision}
+
+    def transact(self, request: dict[str, Any]) -> Answer:
+        with self.lock:
+            answer = self._transact(request)
+            self.lock.notify_all()
+            return answer
+
+    def _transact(self, request: dict[str, Any]) -> Answer:
+        assert len(request["writes"]) <= self.txn_ops
+        assert len(request["if"]) <= 4 * self.txn_ops
+        for write in request["writes"]:
+            assert len(json.dumps(write.get("data"))) <= 16 * 1024 + 1024
+            if write.get("tether") is not None and write["tether"] not in self.holds:
+                return 400, {"error": "no such lease"}
+        failed = [c["key"] for c in request["if"] if self.keys.get(c["key"], {"mark": 0})["mark"] != c["mark"]]
+        if failed:
+            return 409, {"failed": failed, "ledger": self.revision}
+        if request["writes"]:
+            self.revision += 1
+        for write in request["writes"]:
+            if "write" in write:
+                item = {"key": write["write"], "data": write["data"], "mark": self.revision}
+                if write.get("tether") is not None:
+                    item["tether"] = write["tether"]
+                self.keys[write["write"]] = item
+                self.log.append({"write": write["write"], "data": write["data"], "mark": self.revision})
+            elif self.keys.pop(write["drop"], None) is not None:
+                self.log.append({"drop": write["drop"], "mark": self.revision})
+        return 200, {"ledger": self.revision}
+
+    def news(self, query: dict[str, str]) -> Answer | None:
+        """A watch's answer, or None while there is nothing to tell."""
+        self.expire()
+        since, under = int(query["since"]), query["under"]
+        events = [e for e in self.log if e["mark"] > since and (e.get("write") or e["drop"]).startswith(under)]
+        return (200, {"ledger": self.revision, "news": events}) if events and not self.outage else None
+
+    def value(self, key: str) -> Any:
+        item = self.keys.get(key)
+        return item["data"] if item else None
+
+
+TYPES = [
+    {
+        "label": "small", "cpus": 4.0, "gpus": 0.0, "memoryGb": 16.0, "localGb": 50.0, "fetchGbPerS": 1.0,
+        "rate": 0.4, "marketPrice": 0.1, "readyS": 1.0, "fields": ["east", "west"],
+    },
+    {
+        "label": "large", "cpus": 16.0, "gpus": 2.0, "memoryGb": 64.0, "localGb": 50.0, "fetchGbPerS": 1.0,
+        "rate": 1.6, "marketPrice": 0.4, "readyS": 1.0, "fields": ["east"],
+    },
+]  # fmt: skip
+
+
+class CloudService:
+    """Rents what is asked; `on_rent` and `on_delete` start and end the workers."""
+
+    def __init__(self) -> None:
+        self.machines: dict[str, dict[str, Any]] = {}
+        self.requests: dict[str, list[str]] = {}
+        self.on_rent: Callable[[dict[str, Any]], None] = lambda machine: None
+        self.on_delete: Callable[[str], None] = lambda name: None
+        self.full = False
+        self.trouble = False
+        self.deleted: list[str] = []
+
+    def handle(self, method: str, path: str, query: dict[str, str], body: bytes) -> Answer:
+        if self.trouble:
+            return 503, {"error": "trouble"}
+        if path == "/machine_types":
+            return 200, {"builds": TYPES}
+        if path == "/rentals/delete":
+            for name in json.loads(body)["stalls"]:
+                if self.machines.pop(name, None) is not None:
+                    self.deleted.append(name)
+                    self.on_delete(name)
+            return 200, {}
+        if method == "GET":
+            return 200, {"stalls": [self.machines[name] for name in sorted(self.machines)], "hasNext": False}
+        request = json.loads(body)
+        if request["hire"] in self.requests:
+            return 200, {"stalls": self.requests[request["hire"]]}
+        if self.full:
+            return 503, {"error": "no capacity"}
+        names = []
+        for _ in range(min(request["howMany"], 3)):
+            name = f"i-{len(self.machines) + len(self.deleted):06d}"
+            machine = {k: request[k] for k in ("build", "field", "stubble")}
+            machine.update(id=name, standing="running", ageS=1.0, addr=f"{name}:9000")
+            self.machines[name] = machine
+            names.append(name)
+            self.on_rent(machine)
+        self.requests[request["hire"]] = names
+        return 200, {"stalls": names}
+
+
+class Worker:
+    """A worker's side of the protocol, without leases: tasks end when a test says so."""
+
+    def __init__(self, machine: dict[str, Any]) -> None:
+        self.machine = machine
+        self.session = 1
+        self.seq = 0
+        self.token = 0
+        self.notice: float | None = None
+        self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+        self.started: list[tuple[str, int]] = []
+
+    def report(self) -> dict[str, Any]:
+        self.seq += 1
+        return {
+            "stall": self.machine["id"], "addr": self.machine["addr"], "build": self.machine["build"],
+            "field": self.machine["field"], "stubble": self.machine["stubble"], "tenure": self.session,
+            "tally": self.seq, "crook": self.token, "recallS": self.notice, "heads": list(self.tasks.values()),
+        }  # fmt: skip
+
+    def obey(self, calls: list[dict[str, Any]]) -> None:
+        for call in calls:
+            key = (call["head"], call["round"])
+            if call["call"] == "start" and key not in self.tasks:
+                self.started.append(key)
+                self.tasks[key] = {"head": key[0], "round": key[1], "standing": "running"}
+            elif call["call"] == "stop" and key in self.tasks:
+                self.end(key, "stopped")
+            elif call["call"] == "reap":
+                self.tasks.pop(key, None)
+
+    def end(self, key: tuple[str, int], why: str = "done") -> None:
+        if self.tasks[key]["standing"] != "ended":
+            self.tasks[key].update(standing="ended", cause=why)
+
+    def handle(self, method: str, path: str, query: dict[str, str], body: bytes) -> Answer:
+        if path == "/commands":
+            request = json.loads(body)
+            if request["crook"] < self.token or request["tenure"] != self.session:
+                return 409, self.report()
+            self.token = request["crook"]
+            self.obey(request["calls"])
+        return 200, self.report()
+
+
+class FakeNet:
+    """Stands in for HttpClient on a fake clock. `faults` maps a path's beginning to what
+    happens: "refuse", "lose" (executed, no answer) or "late" (executed on `deliver_late`)."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.hosts: dict[str, Callable[[str, str, dict[str, str], bytes], Answer]] = {}
+        self.state: StateService | None = None
+        self.faults: list[tuple[str, str]] = []
+        self.late: list[Callable[[], Any]] = []
+        self.calls: list[tuple[str, str, bytes]] = []
+
+    def fault_for(self, target: str) -> str | None:
+        for i, (start, kind) in enumerate(self.faults):
+            if target.startswith(start):
+                del self.faults[i]
+                return kind
+        return None
+
+    def deliver_late(self) -> list[Any]:
+        late, self.late = self.late, []
+        return [deliver() for deliver in late]
+
+    async def call(self, method: str, address: str, path: str, body: bytes | None = None, timeout: float = 2) -> Reply:
+        host = self.hosts.get(address)
+        self.calls.append((method, address + path, body or b""))
+        fault = self.fault_for(address + path)
+        if host is None or fault == "refuse":
+            raise NotSent(address)
+        parts = urlsplit(path)
+        query = dict(parse_qsl(parts.query))
+        if fault == "late":
+            self.late.append(lambda: host(method, parts.path, query, body or b""))
+            raise Unanswered(address)
+        if parts.path == "/watch":
+            return await self.watch(query)
+        status, value = host(method, parts.path, query, body or b"")
+        if fault == "lose":
+            raise Unanswered(address)
+        return Reply(status, json.dumps(value).encode())
+
+    async def watch(self, query: dict[str, str]) -> Reply:
+        assert self.state is not None
+        until = self.clock.seconds() + int(query["waitMs"]) / 1000
+        while True:
+            answer = self.state.news(query)
+            if answer is None and self.clock.seconds() >= until:
+                answer = (200, {"ledger": self.state.revision, "news": []})
+            if answer is not None:
+                return Reply(answer[0], json.dumps(answer[1]).encode())
+            step: Deferred[None] = Deferred()
+            self.clock.callLater(0.01, step.callback, None)
+            await step
+
+
+def serve(service: Any, host: str, port: int) -> ThreadingHTTPServer:
+    """The stand-in on a real socket, in threads of its own."""
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def answer(self) -> None:
+            parts = urlsplit(self.path)
+            query = dict(parse_qsl(parts.query))
+            body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+            if parts.path == "/watch":
+                status, value = self.watch(query)
+            else:
+                status, value = service.handle(self.command, parts.path, query, body)
+            content = json.dumps(value).encode()
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(content)))
+            self.end_headers()
+            self.wfile.write(content)
+
+        def watch(self, query: dict[str, str]) -> Answer:
+            with service.lock:
+                until = service.seconds() + int(query["waitMs"]) / 1000
+                while True:
+                    answer: Answer | None = service.news(query)
+                    if answer is not None:
+                        return answer
+                    left = until - service.seconds()
+                    if left <= 0:
+                        return 200, {"ledger": service.revision, "news": []}
+                    # Wakes on changes; the limit lets holds end without a request.
+                    service.lock.wait(min(left, 0.05))
+
+        do_GET = do_POST = do_DELETE = answer
+
+        def log_message(self, format: str, *args: Any) -> None:
+            """Quiet."""
+
+    class Server(ThreadingHTTPServer):
+        daemon_threads = True
+
+        def handle_error(self, request: Any, client_address: Any) -> None:
+            """Connections are cut when a test kills a node; that is no error here."""
+
+    server = Server((host, port), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,64 @@
+"""Election: who leads after lost answers, late creations and ended holds."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from meadowcross.common.types import NodeName
+from meadowcross.leadership.election import Election
+from meadowcross.store.client import StoreClient
+
+
+class Record:
+    def __init__(self):
+        self.tokens = []
+        self.stopped = 0
+
+    def begin(self, token):
+        self.tokens.append(token)
+        return self
+
+    def stop(self):
+        self.stopped += 1
+
+
+def node(world, name):
+    record = Record()
+    store = StoreClient(world.clock, world.net, "state:1", world.settings.facts.state)
+    election = Election(world.clock, store, NodeName(name), name + "-life", 3.0, record.begin)
+    Deferred.fromCoroutine(election.run())
+    return election, record
+
+
+@pytest.mark.parametrize("fault", [None, "lose", "late", "refuse"])
+def test_exactly_one_leads_whatever_happens_to_the_first_creation(world, fault):
+    if fault:
+        world.net.faults.append(("state:1/multi", fault))
+    nodes = [node(world, f"n{i}") for i in range(3)]
+    world.pass_time(1.0)
+    world.net.deliver_late()
+    world.pass_time(4.0)
+    leading = [e for e, _ in nodes if e.token is not None]
+    assert len(leading) == 1
+    assert leading[0].token == world.state.keys["lead"]["mark"]
+    assert {e.leader for e, _ in nodes} == {("n" + leading[0].leader[0][1], leading[0].token)}
+
+
+def test_a_hold_that_ends_brings_a_higher_token(world):
+    nodes = [node(world, f"n{i}") for i in range(2)]
+    world.pass_time(1.0)
+    old = next(e for e, _ in nodes if e.token is not None)
+    token = old.token
+    world.state.handle("DELETE", f"/holds/{world.state.keys['lead']['tether']}", {}, b"")
+    world.pass_time(3.0)
+    tokens = [e.token for e, _ in nodes if e.token is not None]
+    assert len(tokens) == 1 and tokens[0] > token
+
+
+def test_an_outage_alone_does_not_end_a_term(world):
+    election, record = node(world, "n0")
+    world.pass_time(1.0)
+    world.state.outage = True
+    world.pass_time(30.0, 0.25)
+    assert election.token is not None and record.stopped == 0
--- /dev/null
+++ b/tests/test_end_to_end.py
@@ -0,0 +1,169 @@
+"""Three real controller processes on loopback against the stand-ins: submit, run, kill
+the leader with -9, finish, and the same answers from every node left."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import subprocess
+import sys
+import threading
+import time
+
+from tests.conftest import job
+from tests.standins import CloudService, StateService, Worker, serve
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# Loopback addresses of this process's own, so that fixed ports can't collide.
+NET = f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
+LIMIT_S = 60.0
+
+CONFIG = """
+host_name = "n{i}"
+zone = "east"
+api_addr = "{net}.{a}:8080"
+peer_bind = "{net}.{a}:8081"
+{peers}
+[outside]
+cloud = "{net}.200:8443"
+state = "{net}.201:2379"
+[facts]
+zones = ["east", "west"]
+[[facts.teams]]
+name = "b"
+[facts.workers]
+report_s = 0.5
+lease_s = 8.0
+cancel_s = 20.0
+[facts.state]
+rps = 500.0
+write_rps = 500.0
+value_kb = 16.0
+txn_ops = 24
+[facts.cloud]
+rps = 50.0
+list_lag_s = 1.0
+"""
+PEER = '[[peers]]\nhost_name = "n{i}"\nzone = "east"\nendpoint = "{net}.{a}:8081"\n'
+
+
+def call(node: int, method: str, path: str, body: object = None) -> tuple[int, dict]:
+    connection = http.client.HTTPConnection(f"{NET}.{node + 1}", 8080, timeout=4)
+    try:
+        connection.request(method, path, None if body is None else json.dumps(body))
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    except OSError:
+        return 0, {}
+    finally:
+        connection.close()
+
+
+def until(what, seconds: float = LIMIT_S):
+    """Wait for an event of other processes; fails rather than waits for ever."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        value = what()
+        if value:
+            return value
+        wait.wait(0.05)
+    raise AssertionError("did not happen in time")
+
+
+wait = threading.Event()
+
+
+class LiveWorker(Worker):
+    """Reports on its own to whichever node leads; tasks are done after a second."""
+
+    def __init__(self, machine: dict, address: str) -> None:
+        super().__init__(machine)
+        self.machine["addr"] = f"{address}:9000"
+        self.lock = threading.RLock()
+        self.over = threading.Event()
+        self.node = 0
+        self.since: dict[tuple[str, int], float] = {}
+        self.server = serve(self, address, 9000)
+        threading.Thread(target=self.loop, daemon=True).start()
+
+    def handle(self, method, path, query, body):
+        with self.lock:
+            return super().handle(method, path, query, body)
+
+    def loop(self) -> None:
+        while not self.over.wait(0.2):
+            with self.lock:
+                for key, task in self.tasks.items():
+                    if task["standing"] == "running" and time.monotonic() - self.since.setdefault(
+                        key, time.monotonic()
+                    ) > 1.0:
+                        self.end(key)
+                report = self.report()
+            status, answer = call(self.node, "POST", "/checkin", report)
+            with self.lock:
+                if status == 200 and answer["crook"] >= self.token:
+                    self.token = answer["crook"]
+                    self.obey(answer["calls"])
+                elif status == 421 and answer.get("drover"):
+                    self.node = int(answer["drover"][1:])
+                else:
+                    self.node = (self.node + 1) % 3
+
+
+def test_three_nodes_outlive_their_leader(tmp_path):
+    state = StateService(time.monotonic)
+    cloud = CloudService()
+    workers: list[LiveWorker] = []
+    started: list[tuple[str, int]] = []
+
+    def rent(machine: dict) -> None:
+        worker = LiveWorker(machine, f"{NET}.{100 + len(workers)}")
+        worker.started = started
+        workers.append(worker)
+
+    def delete(name: str) -> None:
+        next(w for w in workers if w.machine["id"] == name).over.set()
+
+    cloud.on_rent, cloud.on_delete = rent, delete
+    servers = [serve(cloud, f"{NET}.200", 8443), serve(state, f"{NET}.201", 2379)]
+    processes: list[subprocess.Popen[bytes]] = []
+    try:
+        for i in range(3):
+            peers = "".join(PEER.format(i=k, a=k + 1, net=NET) for k in range(3) if k != i)
+            path = tmp_path / f"n{i}.toml"
+            path.write_text(CONFIG.format(i=i, a=i + 1, net=NET, peers=peers))
+            command = [sys.executable, os.path.join(ROOT, "run.py"), "--config", str(path)]
+            processes.append(subprocess.Popen(command, env={**os.environ, "LOG_LEVEL": "error"}))
+        until(lambda: all(call(i, "GET", "/ready")[0] == 200 for i in range(3)))
+        for number in range(3):
+            body = job(id=f"wk-00000{number}", heads=6)
+            assert call(number, "POST", "/v1/jobs", body)[0] == 201
+        until(lambda: len(started) >= 6)
+        leader = int(state.value("lead")["node"][1:])
+        processes[leader].kill()
+        rest = [i for i in range(3) if i != leader]
+        assert call(rest[0], "POST", "/v1/jobs", job(id="wk-000009", heads=4))[0] in (201, 200)
+        names = ["wk-000000", "wk-000001", "wk-000002", "wk-000009"]
+
+        def answers(node: int) -> list[str | None]:
+            return [call(node, "GET", f"/v1/jobs/{name}")[1].get("standing") for name in names]
+
+        until(lambda: answers(rest[0]) == ["done"] * 4)
+        assert answers(rest[1]) == ["done"] * 4
+        assert len(started) == len(set(started)) and len({task for task, _ in started}) == 22
+        for node in rest:
+            assert call(node, "GET", "/v1/jobs/wk-000777")[0] == 404
+            assert call(node, "DELETE", "/v1/jobs/wk-000000")[0] == 405
+            assert call(node, "GET", "/elsewhere")[0] == 404
+            assert call(node, "POST", "/v1/jobs", {"pad": "x" * 70_000})[0] == 413
+        assert state.value("lead")["node"] in {f"n{i}" for i in rest}
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+        for worker in workers:
+            worker.over.set()
+            worker.server.shutdown()
+        for server in servers:
+            server.shutdown()
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,110 @@
+"""Filter, score, order, gangs, spread and limits: pure functions over a snapshot."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+import pytest
+
+from meadowcross.common.settings import Operator
+from meadowcross.common.types import JobId, MachineId, MachineKind
+from meadowcross.jobs.messages import JobSpec
+from meadowcross.placement.engine import Offer, Room, Want, network_term, place, resource_term, score
+from tests.conftest import job
+
+WEIGHTS = Operator()
+
+
+def offer(name, cpus=4.0, memory=16.0, zone="east", spot=True, kind="small", images=(), gpus=0.0):
+    return Offer(MachineId(name), MachineKind(kind, zone, spot), cpus, gpus, memory, set(images))
+
+
+def want(count=None, rank=1, slack=0.0, siblings=None, **changes):
+    spec = msgspec.convert(job(**changes), JobSpec)
+    count = spec.tasks if count is None else count
+    return Want(JobId(spec.id), spec, count, rank, slack, siblings=siblings or {})
+
+
+def rooms(**limits):
+    return {team: Room(limits.get(team, 1e15), 1e15) for team in ("a", "b")}
+
+
+def test_score_is_the_weighted_sum_of_designs_terms():
+    spec = want().spec
+    assert resource_term(spec, 4.0, 16.0, WEIGHTS) == pytest.approx(0.5 * 75 + 0.5 * 87.5)
+    siblings = {MachineId("x"): ("east", 2), MachineId("y"): ("east", 1), MachineId("z"): ("west", 1)}
+    assert network_term(MachineId("x"), "east", siblings, WEIGHTS) == -(2 * 0 + 1 * 1 + 1 * 4)
+    gang = want(breed="group").spec
+    expected = 0.5 * 81.25 + 0.5 * -5
+    assert score(gang, offer("x"), siblings, WEIGHTS) == pytest.approx(expected)
+    assert score(spec, offer("x"), siblings, WEIGHTS) == pytest.approx(0.5 * 81.25)
+
+
+FILTERS = [
+    ("spot not allowed", offer("m"), {"stubble": False}, 0),
+    ("ordinary always allowed", offer("m", spot=False), {"stubble": False}, 2),
+    ("wrong zone", offer("m"), {"field": "west"}, 0),
+    ("wrong type", offer("m"), {"builds": ["large"]}, 0),
+    ("too little memory for both", offer("m", memory=3.0), {}, 1),
+    ("no gpu", offer("m"), {"gpus": 1.0}, 0),
+]
+
+
+@pytest.mark.parametrize(("machine", "changes", "placed"), [f[1:] for f in FILTERS], ids=[f[0] for f in FILTERS])
+def test_filter(machine, changes, placed):
+    choices = place([machine], [want(**changes)], rooms(), WEIGHTS)
+    assert sum(len(c.machines) for c in choices) == placed
+
+
+def test_the_top_score_takes_each_task_and_warm_machines_are_offered_first():
+    offers = [offer("big", cpus=16.0, memory=64.0), offer("cold"), offer("warm", images=["img"])]
+    choices = place(offers, [want(heads=6)], rooms(), WEIGHTS)
+    assert Counter(choices[0].machines) == {"warm": 4, "big": 2}
+
+
+def test_order_is_priority_then_slack():
+    wants = [
+        want(id="wk-000001", heads=1, rank=2, slack=-50.0),
+        want(id="wk-000002", heads=1, rank=1, slack=40.0),
+        want(id="wk-000003", heads=1, rank=1, slack=10.0),
+    ]
+    choices = place([offer("m", cpus=2.0)], wants, rooms(), WEIGHTS)
+    assert [c.job for c in choices] == ["wk-000003", "wk-000002"]
+
+
+def test_a_team_never_gets_more_than_its_limit():
+    choices = place([offer("m", cpus=16.0, memory=64.0)], [want(steward="a", heads=9)], rooms(a=3.5), WEIGHTS)
+    assert len(choices[0].machines) == 3
+
+
+GANGS = [
+    ("fits", 4, {}, 4),
+    ("all or none", 9, {}, 0),
+    ("all or none within the limit", 4, {"steward": "a"}, 0),
+    ("one zone, fits in one", 4, {"oneZone": True}, 4),
+    ("one zone, fits only across", 6, {"oneZone": True}, 0),
+    ("spread, half rounded up in a zone", 5, {"scatter": True}, 5),
+]
+
+
+@pytest.mark.parametrize(("heads", "changes", "placed"), [g[1:] for g in GANGS], ids=[g[0] for g in GANGS])
+def test_gangs(heads, changes, placed):
+    offers = [offer("e"), offer("w", zone="west")]
+    choices = place(offers, [want(heads=heads, breed="group", **changes)], rooms(a=3.0), WEIGHTS)
+    machines = [m for c in choices for m in c.machines]
+    assert len(machines) == placed
+    if changes.get("oneZone") and placed:
+        assert len(set(machines)) == 1
+    if changes.get("scatter"):
+        assert max(Counter(machines).values()) == 3
+    # What is not placed leaves no trace in the offers.
+    assert sum(o.free_cpus for o in offers) == 8 - placed
+
+
+def test_old_members_hold_their_zone_until_gone():
+    old = {MachineId("gone?"): ("west", 1)}
+    offers = [offer("e", cpus=16.0, memory=64.0)]
+    assert place(offers, [want(heads=2, count=1, oneZone=True, siblings=old)], rooms(), WEIGHTS) == []
+    spread = {MachineId("x"): ("east", 2)}
+    assert place(offers, [want(heads=3, count=1, scatter=True, siblings=spread)], rooms(), WEIGHTS) == []
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,84 @@
+"""Settings files: what is taken, what is refused, and how it is said."""
+
+from __future__ import annotations
+
+import pytest
+
+from meadowcross.app import main
+from meadowcross.common.settings import Operator, SettingsError, load_operator, load_settings
+
+GOOD = """
+host_name = "paddock-0"
+zone = "menai"
+api_addr = "10.0.0.1:8080"
+peer_bind = "10.0.0.1:8081"
+something_new = 1
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+zones = ["menai"]
+[facts.workers]
+report_s = 3.0
+lease_s = 16.0
+cancel_s = 41
+[facts.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 24
+[facts.cloud]
+rps = 5.0
+list_lag_s = 5.0
+"""
+
+
+def test_unknown_fields_are_ignored(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD)
+    assert load_settings(str(path)).facts.workers.cancel_s == 41.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ('host_name = "paddock-0"', "", "host_name"),
+        ("rps = 200.0", 'rps = "many"', "rps"),
+        ("lease_s = 16.0", "lease_s = -1.0", "lease_s"),
+        ('api_addr = "10.0.0.1:8080"', 'api_addr = "here"', "api_addr"),
+        ("[facts.cloud]", "[facts.cloud", "s.toml"),
+    ],
+)
+def test_bad_settings_end_the_start_with_2_and_one_line(tmp_path, capsys, old, new, says):
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD.replace(old, new))
+    assert main(["--config", str(path), "--check"]) == 2
+    error = capsys.readouterr().err
+    assert says in error and "s.toml" in error and error.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("xml", "says"),
+    [
+        ("<meadowcross><gama>1</gama></meadowcross>", "gama"),
+        ("<meadowcross><gamma>much</gamma></meadowcross>", "gamma"),
+        ("<meadowcross><delta>0</delta></meadowcross>", "above 0"),
+        ("<meadowcross><alpha>0.9</alpha></meadowcross>", "sum to 1"),
+        ("<meadowcross><hold-s>900</hold-s></meadowcross>", "hold-s"),
+        ("<meadowcross><gamma>1</gamma><gamma>1</gamma></meadowcross>", "twice"),
+        ('<!DOCTYPE m [<!ENTITY e "1">]><meadowcross><gamma>&e;</gamma></meadowcross>', "entity"),
+        ("<other/>", "expected <meadowcross>"),
+        ("<meadowcross>", "well-formed"),
+    ],
+)
+def test_operator_settings_refused(tmp_path, xml, says):
+    path = tmp_path / "o.xml"
+    path.write_text(xml)
+    with pytest.raises(SettingsError, match=says):
+        load_operator(str(path))
+
+
+def test_operator_settings_taken(tmp_path):
+    path = tmp_path / "o.xml"
+    path.write_text("<meadowcross><alpha>0.7</alpha><beta>0.3</beta><move-period-s>5</move-period-s></meadowcross>")
+    assert load_operator(str(path)) == Operator(alpha=0.7, beta=0.3, move_period_s=5.0)
--- /dev/null
+++ b/tests/test_sizing.py
@@ -0,0 +1,57 @@
+"""Sizing: what is rented for a need, and what is drained."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from meadowcross.common.types import MachineId, MachineKind
+from meadowcross.fleet.messages import decode_types, encode
+from meadowcross.fleet.sizing import Coming, Held, Need, dear_kinds, plan, press, surplus
+from meadowcross.jobs.messages import JobSpec
+from tests.conftest import job
+from tests.standins import TYPES
+
+KINDS = {t.name: t for t in decode_types(encode({"builds": TYPES})).types}
+DEAR = dear_kinds(KINDS.values(), 2.0)
+
+
+def need(count, pressed=True, **changes):
+    return Need(msgspec.convert(job(**changes), JobSpec), count, 30.0, pressed)
+
+
+SMALL_EAST = MachineKind("small", "east", True)
+SPOT = {MachineKind("small", zone, True) for zone in ("east", "west")}
+PLANS = [
+    ("cheapest that holds it", need(4), [], set(), [("small", True, 1)]),
+    ("many tasks, equal prices", need(64), [], set(), [("large", True, 4)]),
+    ("ordinary only", need(4, stubble=False), [], set(), [("small", False, 1)]),
+    ("room on its way is enough", need(4), [Coming(SMALL_EAST, 4.0, 0.0, 16.0)], set(), []),
+    ("room on its way counts", need(6), [Coming(SMALL_EAST, 4.0, 0.0, 16.0)], set(), [("small", True, 1)]),
+    ("needs a gpu", need(1, gpus=1.0), [], set(), [("large", True, 1)]),
+    ("dear under pressure", need(4, builds=["small"]), [], SPOT, [("small", False, 1)]),
+    ("not dear without", need(4, False, builds=["small"]), [], SPOT, []),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("what", "coming", "closed", "expected"), [p[1:] for p in PLANS], ids=[p[0] for p in PLANS])
+def test_plan(what, coming, closed, expected):
+    rentals = plan([what], coming, KINDS, closed, DEAR)
+    assert [(r.kind.type, r.kind.spot, r.machines) for r in rentals] == expected
+
+
+def test_pressure_is_slack_against_the_work_ahead():
+    needs = [need(10), need(10), need(10)]
+    press(needs, [1000.0, 50.0, 1000.0], 10.0)
+    assert [n.pressed for n in needs] == [False, True, False]
+
+
+def test_surplus_drains_the_dearest_room_that_the_rest_can_do_without():
+    held = [
+        Held(MachineId("dear"), 4.0, 1.0, 16.0, 1.0, 0.4),
+        Held(MachineId("cheap-busy"), 4.0, 2.0, 16.0, 1.0, 0.1),
+        Held(MachineId("cheap-idle"), 4.0, 0.0, 16.0, 0.0, 0.1),
+    ]
+    assert surplus(held, 0.15) == ["dear", "cheap-idle"]
+    held[1].used_cpus = 3.9
+    assert surplus(held, 0.15) == ["dear"]
--- /dev/null
+++ b/tests/test_term.py
@@ -0,0 +1,233 @@
+"""A leader's term against stand-ins: write ahead, takeover, cancels, outages, limits."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from tests.standins import Worker
+
+
+def placed(world, chunk="t/wk-000001/00000"):
+    return [e for e in world.state.value(chunk) or [] if isinstance(e, list)]
+
+
+def test_a_job_runs_to_done_and_is_reaped_only_after_it_is_stored(world):
+    world.lead()
+    world.submit()
+    world.pass_time(6.0)
+    assert world.running() == ["wk-000001/0", "wk-000001/1"]
+    world.state.outage = True
+    for worker in world.workers.values():
+        for key in list(worker.tasks):
+            worker.end(key)
+    world.pass_time(5.0)
+    assert any(w.tasks for w in world.workers.values()), "reaped before it was stored"
+    world.state.outage = False
+    world.pass_time(4.0)
+    assert world.state.value("e/wk-000001") == {"s": "done", "n": 2}
+    assert not any(w.tasks for w in world.workers.values())
+    assert world.state.value("j/wk-000001") is None and world.state.value("t/wk-000001/00000") is None
+
+
+def test_the_placement_is_stored_before_its_start_is_sent(world):
+    world.lead()
+    world.submit()
+    original = Worker.obey
+
+    def obey(worker, calls):
+        for call in calls:
+            if call["call"] == "start":
+                assert [call["round"], worker.machine["id"]] in placed(world)
+        original(worker, calls)
+
+    Worker.obey = obey
+    try:
+        world.pass_time(6.0)
+    finally:
+        Worker.obey = original
+    assert len(world.running()) == 2
+
+
+@pytest.mark.parametrize("fault", ["lose", "late", "refuse"])
+def test_a_direct_start_without_an_answer_never_runs_a_task_twice(world, fault):
+    world.lead()
+    world.submit(id="wk-000002", heads=1)
+    world.pass_time(5.0)
+    faults = [(f"{name}:9000/commands", fault) for name in world.workers]
+    world.net.faults = list(faults)
+    world.submit(heads=1)
+    world.pass_time(4.0)
+    assert len(world.net.faults) < len(faults), "the fault was not met"
+    world.net.faults = []
+    world.net.deliver_late()
+    world.pass_time(6.0)
+    assert world.running().count("wk-000001/0") == 1
+
+
+def test_an_unanswered_start_pins_its_task_until_the_session_ends(world):
+    term = world.lead()
+    world.submit(heads=1)
+    world.pass_time(2.0, 0.05)
+    job = term.book.jobs["wk-000001"]
+    if not job.placed:
+        world.pass_time(2.0)
+    machine = term.roster.machines[job.placed[0].machine]
+    worker = world.workers[machine.id]
+    key = next(iter(worker.tasks))
+    # As if the answer had been lost and the start not yet carried out.
+    worker.tasks.clear()
+    term.roster.starts_sent(machine, 1, [(job.placed[0].task, job.placed[0].attempt)])
+    world.pass_time(4.0)
+    assert job.placed[0].machine == machine.id and job.placed[0].attempt == key[1]
+    worker.session = 2
+    world.pass_time(3.0)
+    assert job.placed[0].attempt == key[1] + 1
+    assert len(world.running()) == 1
+
+
+def test_a_cancel_that_comes_before_the_placement_is_stored_prevents_the_start(world):
+    term = world.lead()
+    world.submit(id="wk-000002")
+    world.pass_time(4.0)
+    world.reporting = False
+    # The placement's transaction meets a job that was cancelled without our knowledge.
+    world.submit()
+    job_key = "j/wk-000001"
+    record = dict(world.state.value(job_key), c=1.0)
+    world.state.transact({"if": [], "writes": [{"write": job_key, "data": record}]})
+    world.pass_time(1.0)
+    assert term.book.jobs.get("wk-000001") is None
+    assert not any(key[0].startswith("wk-000001") for w in world.workers.values() for key in w.started)
+    assert world.state.value("e/wk-000001") == {"s": "cancelled", "n": 2}
+
+
+def test_a_cancel_stops_running_tasks_and_ends_only_when_they_are_gone(world):
+    world.lead()
+    world.submit()
+    world.pass_time(5.0)
+    assert len(world.running()) == 2
+    world.run(world.api().cancel(b"", "wk-000001"))
+    world.pass_time(2.0)
+    assert world.running() == [] and world.state.value("e/wk-000001")["s"] == "cancelled"
+
+
+def test_a_cancelled_task_on_a_machine_out_of_reach_is_cleared_by_deleting_it(world):
+    world.lead()
+    world.submit(heads=1)
+    world.pass_time(5.0)
+    (worker,) = [w for w in world.workers.values() if w.tasks]
+    address = worker.machine["addr"]
+    del world.net.hosts[address]
+    world.run(world.api().cancel(b"", "wk-000001"))
+    world.reporting = False
+    world.pass_time(30.0, 0.25)
+    assert worker.machine["id"] in world.cloud.deleted
+    assert world.state.value("e/wk-000001")["s"] == "cancelled"
+
+
+def test_done_before_the_cancel_wins_and_a_cancel_before_done_wins(world):
+    world.lead()
+    world.submit()
+    world.pass_time(5.0)
+    for worker in world.workers.values():
+        for key in list(worker.tasks):
+            worker.end(key)
+    # The leader has not heard yet: the cancel is first, and stays.
+    answer = world.run(world.api().cancel(b"", "wk-000001"), 0.5)
+    assert json.loads(answer.body)["standing"] == "cancelled"
+    world.pass_time(3.0)
+    assert world.state.value("e/wk-000001")["s"] == "cancelled"
+
+
+def test_a_new_leader_starts_nothing_twice(world):
+    first = world.lead()
+    world.submit(heads=3)
+    world.pass_time(5.0)
+    before = {key for w in world.workers.values() for key in w.started}
+    world.election.stand_down("test")
+    world.pass_time(1.0)
+    second = world.term
+    assert second is not first and second.token > first.token and second.loaded
+    world.pass_time(5.0)
+    assert {key for w in world.workers.values() for key in w.started} == before
+    assert all(w.token == second.token for w in world.workers.values())
+    # A task lost while nobody led runs again, with a higher attempt.
+    worker = next(w for w in world.workers.values() if w.tasks)
+    worker.session, worker.tasks = 2, {}
+    world.pass_time(4.0)
+    assert len(world.running()) == 3
+
+
+def test_limits_count_tasks_on_machines_out_of_reach(world):
+    term = world.lead()
+    world.submit(steward="a", heads=20, cpus=2.0)
+    world.pass_time(5.0)
+    assert len(world.running()) == 4
+    world.cloud.trouble = True
+    for worker in world.workers.values():
+        world.net.hosts.pop(worker.machine["addr"])
+    world.reporting = False
+    world.pass_time(60.0, 0.25)
+    job = term.book.jobs["wk-000001"]
+    assert len(job.placed) == 4 and term.book.use_of("a").cpus == 8.0
+    world.cloud.trouble = False
+    world.pass_time(5.0, 0.25)
+    assert term.book.use_of("a").cpus <= 8.0 and len(world.cloud.deleted) > 0
+
+
+def test_in_an_outage_reports_are_answered_and_nothing_new_starts(world):
+    term = world.lead()
+    world.submit(heads=2)
+    world.pass_time(5.0)
+    world.state.outage = True
+    world.pass_time(20.0, 0.25)
+    worker = next(iter(world.workers.values()))
+    assert world.report(worker).token == term.token
+    assert not term.stopped
+    # A higher token seen on a worker ends it.
+    worker.token = term.token + 1
+    assert world.report(worker) is None and term.stopped
+
+
+def test_an_error_elsewhere_condemns_the_job_not_the_machines(world):
+    term = world.lead()
+    world.submit(heads=1)
+    world.pass_time(5.0)
+    for _ in range(4):
+        for worker in list(world.workers.values()):
+            for key, task in worker.tasks.items():
+                if task["standing"] == "running":
+                    worker.end(key, "error")
+        world.pass_time(10.0, 0.1)
+    assert term.book.jobs["wk-000001"].pauses >= 1
+    assert not any(m.condemned and "fails" in m.condemned for m in term.roster.machines.values())
+
+
+def test_a_machine_that_fails_what_succeeds_elsewhere_is_deleted(world):
+    world.lead()
+    world.submit(heads=8, memoryGb=8.0)
+    world.pass_time(6.0)
+    bad = next(w for w in world.workers.values() if w.tasks)
+    for key in list(bad.tasks):
+        bad.end(key, "error")
+    world.pass_time(2.0)
+    for worker in list(world.workers.values()):
+        if worker is not bad:
+            for key in list(worker.tasks):
+                worker.end(key)
+    world.pass_time(4.0)
+    assert bad.machine["id"] in world.cloud.deleted
+
+
+def test_a_large_job_is_stored_in_chunks_below_the_value_limit(world):
+    world.lead()
+    world.cloud.full = True
+    world.submit(heads=2000, cpus=0.01, memoryGb=0.01)
+    world.cloud.full = False
+    world.pass_time(20.0, 0.25)
+    chunks = [k for k in world.state.keys if k.startswith("t/wk-000001/")]
+    assert len(chunks) == 8
+    assert all(len(json.dumps(world.state.value(k))) < 16 * 1024 for k in chunks)
+    assert len(world.running()) == 2000
