--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -34,7 +34,7 @@
 from meadowcross.jobs import messages as jm
 from meadowcross.jobs.book import Book, Job, Phase, Placement
 from meadowcross.leadership.messages import LEADER_KEY
-from meadowcross.placement.engine import Offer, Room, Want, place
+from meadowcross.placement.engine import Choice, Offer, Room, Victim, Want, order, place, preempt, talks
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Refused, StoreClient, Unavailable, Unknown, WatchTooOld
@@ -50,6 +50,11 @@
 TICK_S: Seconds = 0.5
 WATCH_S: Seconds = 20.0
 NO_LIMIT = 1e15
+GIVE_WAY_S: Seconds = 4.0
+HURRY_RUNS = 0.5
+HURRY_S: Seconds = 5.0
+ALMOST_DONE_S: Seconds = 3.0
+LOWEST_RANK = max(jm.RANK.values())
 
 
 class Term:
@@ -84,6 +89,8 @@
         self.loaded = False
         self._stopped = False
         self._pass_set = False
+        self._prompt = {o.job_class for o in settings.facts.objectives if o.kind == "wait"}
+        self._giving_way: dict[JobId, list[Placement]] = {}
         self._within = {
             o.job_class: o.within_s
             for o in settings.facts.objectives
@@ -602,13 +609,83 @@
             return
         wants = self.wants()
         if wants:
-            now = self.now
-            for choice in place(self.offers(), wants, self.rooms(), self._operator):
-                job = self.book.jobs[choice.job]
-                if job.is_gang and job.gang_attempt is None:
-                    job.gang_attempt = Attempt(max(job.attempts) + 1)
-                for name in choice.machines:
-                    placement = self.book.place(job, job.take_waiting(), name, now)
-                    self.roster.attach(self.roster.machines[name], placement, job.spec)
+            offers, rooms = self.offers(), self.rooms()
+            choices = place(offers, wants, rooms, self._operator)
+            self._take_places(choices)
+            self._preempt(wants, choices, offers, rooms)
         self._flush_dirty()
 
+    def _take_places(self, choices: list[Choice]) -> None:
+        now = self.now
+        for choice in choices:
+            job = self.book.jobs[choice.job]
+            if job.is_gang and job.gang_attempt is None:
+                job.gang_attempt = Attempt(max(job.attempts) + 1)
+            for name in choice.machines:
+                placement = self.book.place(job, job.take_waiting(), name, now)
+                self.roster.attach(self.roster.machines[name], placement, job.spec)
+
+    def _preempt(self, wants: list[Want], choices: list[Choice], offers: list[Offer], rooms: dict[str, Room]) -> None:
+        """Stop lower priority for what found no room. Victims under way count as room."""
+        placed = {choice.job: len(choice.machines) for choice in choices}
+        now = self.now
+        for job_id, pending in list(self._giving_way.items()):
+            left = [p for p in pending if self._still_placed(p) and now - (p.stop_at or now) < GIVE_WAY_S]
+            if left:
+                self._giving_way[job_id] = left
+            else:
+                del self._giving_way[job_id]
+        victims: list[Victim] | None = None
+        for want in sorted(wants, key=order):
+            short = min(want.count - placed.get(want.job, 0), rooms[want.spec.team].tasks(want.spec))
+            if short <= 0 or want.rank >= LOWEST_RANK or talks(want.spec) or want.job in self._giving_way:
+                continue
+            if want.spec.job_class not in self._prompt and want.slack > self._hurry_s(want):
+                # What waits without harm lets the others keep what they have done.
+                continue
+            if victims is None:
+                victims = self._victims()
+            chosen = preempt(want, short, offers, victims)
+            if not chosen:
+                continue
+            taken = {id(victim) for victim in chosen}
+            victims = [v for v in victims if id(v) not in taken]
+            placements = [v.key for v in chosen if isinstance(v.key, Placement)]
+            log.info("job %s: %d tasks give way", want.job, len(placements))
+            self._giving_way[want.job] = placements
+            for placement in placements:
+                self.stop_task(placement, 0.0)
+
+    def _hurry_s(self, want: Want) -> Seconds:
+        """Slack below which waiting longer risks the deadline, estimates being rough."""
+        return HURRY_RUNS * self.book.expected_run(want.spec) + HURRY_S
+
+    def _still_placed(self, placement: Placement) -> bool:
+        job = self.book.jobs.get(placement.task.job)
+        return job is not None and job.placed.get(placement.task.number) is placement
+
+    def _victims(self) -> list[Victim]:
+        """Tasks that may be stopped at once: not a gang's, whose whole attempt would be lost."""
+        now = self.now
+        victims = []
+        for machine in self.roster.machines.values():
+            if not self.offerable(machine):
+                continue
+            for placement in machine.placements.values():
+                job = self.book.jobs.get(placement.task.job)
+                if job is None or job.is_gang or placement.stop_at is not None:
+                    continue
+                if placement.phase not in (Phase.RUNNING, Phase.FETCHING):
+                    continue
+                ran = now - placement.running_at if placement.running_at is not None else 0.0
+                if ran > 0 and self.book.expected_run(job.spec) - ran < ALMOST_DONE_S and ran > ALMOST_DONE_S:
+                    continue
+                saved = job.spec.checkpoint_s
+                lost = ran % saved if saved > 0 else ran
+                spec = job.spec
+                victims.append(
+                    Victim(
+                        placement, machine.id, job.rank, spec.cpus, spec.gpus, spec.memory_gb, lost * spec.cpus
+                    )
+                )
+        return victims
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -233,3 +233,55 @@
     for name in machines:
         next(o for o in option if o.machine == name).take(spec, -1)
     return total, machines
+
+
+@dataclass(slots=True)
+class Victim:
+    """A running task that may be stopped for work of higher priority."""
+
+    key: object
+    machine: MachineId
+    rank: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    loss: float
+    """CPU seconds of progress that stopping it now throws away."""
+
+
+def preempt(want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim]) -> list[Victim]:
+    """The victims that make room for `count` tasks of the want at the least loss, machines
+    that hold its image first. Only strictly lower priority gives way."""
+    spec = want.spec
+    by_machine: dict[MachineId, list[Victim]] = {}
+    for victim in victims:
+        if victim.rank > want.rank:
+            by_machine.setdefault(victim.machine, []).append(victim)
+    options: list[tuple[bool, float, MachineId, list[Victim]]] = []
+    for offer in offers:
+        candidates = by_machine.get(offer.machine)
+        if candidates is None or not allowed(spec, offer.kind):
+            continue
+        candidates.sort(key=lambda v: v.loss / v.cpus)
+        free = [offer.free_cpus, offer.free_gpus, offer.free_memory]
+        chosen: list[Victim] = []
+        slots = 0
+        for victim in candidates:
+            chosen.append(victim)
+            free[0] += victim.cpus
+            free[1] += victim.gpus
+            free[2] += victim.memory_gb
+            if (
+                free[0] + EPSILON >= spec.cpus
+                and free[1] + EPSILON >= spec.gpus
+                and free[2] + EPSILON >= spec.memory_gb
+            ):
+                loss = sum(v.loss for v in chosen)
+                options.append((spec.image not in offer.images, loss, offer.machine, chosen))
+                free = [free[0] - spec.cpus, free[1] - spec.gpus, free[2] - spec.memory_gb]
+                chosen = []
+                slots += 1
+                if slots >= count:
+                    break
+    options.sort(key=lambda option: option[:3])
+    return [victim for option in options[:count] for victim in option[3]]
