--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -640,11 +640,11 @@
             short = min(want.count - placed.get(want.job, 0), rooms[want.spec.team].tasks(want.spec))
             if short <= 0 or want.rank >= LOWEST_RANK or talks(want.spec) or want.job in self._giving_way:
                 continue
-            if want.spec.job_class not in self._prompt and want.slack > self._hurry_s(want):
-                # What waits without harm lets the others keep what they have done.
-                continue
             if victims is None:
                 victims = self._victims()
+            if not self._in_hurry(want, victims):
+                # What waits without harm lets the others keep what they have done.
+                continue
             chosen = preempt(want, short, offers, victims)
             if not chosen:
                 continue
@@ -656,9 +656,16 @@
             for placement in placements:
                 self.stop_task(placement, 0.0)
 
-    def _hurry_s(self, want: Want) -> Seconds:
-        """Slack below which waiting longer risks the deadline, estimates being rough."""
-        return HURRY_RUNS * self.book.expected_run(want.spec) + HURRY_S
+    def _in_hurry(self, want: Want, victims: list[Victim]) -> bool:
+        """Whether waiting for room harms: the class is to start promptly, or the slack is
+        within the estimates' error, or smaller tasks of lower priority would take each
+        piece of room that comes free before it is large enough."""
+        spec = want.spec
+        return (
+            spec.job_class in self._prompt
+            or want.slack < HURRY_RUNS * self.book.expected_run(spec) + HURRY_S
+            or any(v.rank > want.rank and v.cpus < spec.cpus for v in victims)
+        )
 
     def _still_placed(self, placement: Placement) -> bool:
         job = self.book.jobs.get(placement.task.job)
