--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -34,7 +34,19 @@
 from meadowcross.jobs import messages as jm
 from meadowcross.jobs.book import Book, Job, Phase, Placement
 from meadowcross.leadership.messages import LEADER_KEY
-from meadowcross.placement.engine import Choice, Offer, Room, Victim, Want, order, place, preempt, talks
+from meadowcross.placement.engine import (
+    Choice,
+    Offer,
+    Replica,
+    Room,
+    Victim,
+    Want,
+    moves,
+    order,
+    place,
+    preempt,
+    talks,
+)
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Refused, StoreClient, Unavailable, Unknown, WatchTooOld
@@ -50,6 +62,8 @@
 TICK_S: Seconds = 0.5
 WATCH_S: Seconds = 20.0
 NO_LIMIT = 1e15
+CANCEL_SHARE = 0.5
+LATE_FACTOR = 1.5
 GIVE_WAY_S: Seconds = 4.0
 HURRY_RUNS = 0.5
 HURRY_S: Seconds = 5.0
@@ -89,6 +103,7 @@
         self.loaded = False
         self._stopped = False
         self._pass_set = False
+        self._moved_at = self.now
         self._prompt = {o.job_class for o in settings.facts.objectives if o.kind == "wait"}
         self._giving_way: dict[JobId, list[Placement]] = {}
         self._within = {
@@ -523,10 +538,73 @@
 
     def _on_tick(self) -> None:
         try:
+            self._clear_late_cancels()
+            self._leave_taken()
+            if self.now - self._moved_at >= self._operator.move_period_s:
+                self._moved_at = self.now
+                self._move_replicas()
             self.kick()
         except Exception:
             log.exception("tick failed")
 
+    def _clear_late_cancels(self) -> None:
+        """A cancelled job's task that stops don't clear goes with its machine, in time."""
+        patience = CANCEL_SHARE * self._settings.facts.workers.cancel_s
+        for job in self.book.jobs.values():
+            if job.cancelled is None or self.now - job.cancelled < patience:
+                continue
+            names = [p.machine for p in job.placed.values()]
+            self._condemn(names, f"holds tasks of job {job.id}, cancelled {self.now - job.cancelled:.0f} s ago")
+
+    def _leave_taken(self) -> None:
+        """Machines with a notice: save what can be saved in time, and start again elsewhere
+        what can't end in time; what may end in time goes on."""
+        now = self.now
+        for machine in self.roster.machines.values():
+            if machine.taken_at is None or machine.condemned is not None or not machine.confirmed:
+                continue
+            left = machine.taken_at - now
+            if not machine.placements:
+                self.fleet.condemn(machine, "to be taken back, and empty")
+                continue
+            for placement in list(machine.placements.values()):
+                job = self.book.jobs.get(placement.task.job)
+                if job is None or placement.stop_at is not None or placement.phase is not Phase.RUNNING:
+                    continue
+                ran = now - (placement.running_at if placement.running_at is not None else now)
+                if job.spec.checkpoint_s > 0:
+                    if left > job.spec.save_s:
+                        self._save(job, placement, left)
+                elif not job.is_gang and self.book.expected_run(job.spec) - ran > LATE_FACTOR * max(left, 0.0):
+                    self.stop_task(placement, 0.0)
+
+    def _save(self, job: Job, placement: Placement, grace: Seconds) -> None:
+        """Stop with time to save; a gang's tasks all together, or their save would fail."""
+        for other in list(job.placed.values()) if job.is_gang else [placement]:
+            if other.started and other.stop_at is None:
+                self.stop_task(other, max(grace, job.spec.save_s))
+
+    def _move_replicas(self) -> None:
+        now = self.now
+        replicas = []
+        for job in self.book.jobs.values():
+            if job.spec.kind is not jm.Kind.SERVICE or job.cancelled is not None or job.waiting_count:
+                # One that waits for its new place is moving already.
+                continue
+            for placement in job.placed.values():
+                if placement.phase is Phase.RUNNING and placement.running_at is not None and placement.stop_at is None:
+                    age = now - placement.running_at
+                    replicas.append(Replica(placement, self._want(job), placement.machine, age))
+        if not replicas:
+            return
+        usage = {m.id: m.cpus / m.type.cpus for m in self.roster.machines.values() if m.type is not None}
+        for replica in moves(self.offers(), replicas, usage, self._operator):
+            moving = replica.key
+            if isinstance(moving, Placement):
+                # It waits again, and the score places it, once this copy is proven gone.
+                log.info("task %s moves off %s", moving.task, moving.machine)
+                self.stop_task(moving, self.book.jobs[moving.task.job].spec.save_s)
+
     def offerable(self, machine: Machine) -> bool:
         return (
             machine.confirmed
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import sys
 from collections.abc import Coroutine
@@ -151,3 +152,8 @@
 @pytest.fixture
 def world() -> World:
     return World()
+
+
+def pytest_unconfigure() -> None:
+    """Coroutines that still wait when the interpreter ends have nothing left to tell."""
+    logging.disable()
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -10,7 +10,19 @@
 from meadowcross.common.settings import Operator
 from meadowcross.common.types import JobId, MachineId, MachineKind
 from meadowcross.jobs.messages import JobSpec
-from meadowcross.placement.engine import Offer, Room, Want, network_term, place, resource_term, score
+from meadowcross.placement.engine import (
+    Offer,
+    Replica,
+    Room,
+    Victim,
+    Want,
+    moves,
+    network_term,
+    place,
+    preempt,
+    resource_term,
+    score,
+)
 from tests.conftest import job
 
 WEIGHTS = Operator()
@@ -108,3 +120,38 @@
     assert place(offers, [want(heads=2, count=1, oneZone=True, siblings=old)], rooms(), WEIGHTS) == []
     spread = {MachineId("x"): ("east", 2)}
     assert place(offers, [want(heads=3, count=1, scatter=True, siblings=spread)], rooms(), WEIGHTS) == []
+
+
+MOVES = [
+    ("used, old, led by enough", 0.9, 700.0, 16.0, 1),
+    ("machine used too little", 0.85, 700.0, 16.0, 0),
+    ("too young", 0.9, 600.0, 16.0, 0),
+    ("no lead", 0.9, 700.0, 1.2, 0),
+]
+
+
+@pytest.mark.parametrize(("usage", "age", "free", "moved"), [m[1:] for m in MOVES], ids=[m[0] for m in MOVES])
+def test_the_move_pass_moves_at_most_one_replica_of_a_service(usage, age, free, moved):
+    service = want(breed="daemon", heads=2, memoryGb=1.0)
+    replicas = [Replica(i, service, MachineId("full"), age) for i in range(2)]
+    offers = [offer("full", cpus=0.4, memory=1.0), offer("other", cpus=free, memory=free)]
+    assert len(moves(offers, replicas, {MachineId("full"): usage}, WEIGHTS)) == moved
+    assert offers[0].free_cpus == pytest.approx(0.4)
+
+
+def test_preemption_takes_the_least_loss_of_strictly_lower_priority_where_the_image_is():
+    offers = [offer("warm", cpus=0.0, images=["img"]), offer("cold", cpus=0.0)]
+
+    def victim(key, machine, rank, loss):
+        return Victim(key, MachineId(machine), rank, 1.0, 0.0, 2.0, loss)
+
+    victims = [
+        victim("same", "warm", 1, 0.0),
+        victim("dear", "warm", 3, 9.0),
+        victim("cheap", "warm", 2, 2.0),
+        victim("cold", "cold", 3, 0.0),
+    ]
+    assert [v.key for v in preempt(want(rank=1), 1, offers, victims)] == ["cheap"]
+    assert [v.key for v in preempt(want(rank=1), 3, offers, victims)] == ["cheap", "dear", "cold"]
+    assert preempt(want(rank=3), 1, offers, victims) == []
+    assert [v.key for v in preempt(want(rank=0, cpus=2.0), 1, offers, victims)] == ["same", "cheap"]
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -231,3 +231,57 @@
     assert len(chunks) == 8
     assert all(len(json.dumps(world.state.value(k))) < 16 * 1024 for k in chunks)
     assert len(world.running()) == 2000
+
+
+def test_a_machine_with_a_notice_gets_no_new_work_saves_what_it_can_and_is_returned(world):
+    term = world.lead()
+    world.submit(heads=1, id="wk-000001", stookS=10.0, baleS=2.0, grazeS=300.0)
+    world.pass_time(5.0)
+    (old,) = [w for w in world.workers.values() if w.tasks]
+    old.notice = 20.0
+    world.pass_time(5.0)
+    job = term.book.jobs["wk-000001"]
+    assert job.placed[0].machine != old.machine["id"] and job.placed[0].attempt == 2
+    assert old.machine["id"] in world.cloud.deleted
+    assert world.running() == ["wk-000001/0"]
+
+
+def test_a_cancelled_task_that_stops_do_not_clear_goes_with_its_machine(world, monkeypatch):
+    world.lead()
+    world.submit(heads=1)
+    world.pass_time(5.0)
+    monkeypatch.setattr(Worker, "obey", lambda worker, calls: None)
+    world.run(world.api().cancel(b"", "wk-000001"))
+    world.pass_time(25.0, 0.25)
+    assert world.running() == [] and len(world.cloud.deleted) >= 1
+    assert world.state.value("e/wk-000001")["s"] == "cancelled"
+
+
+def test_a_higher_priority_task_takes_the_room_of_a_lower_one(world):
+    world.lead()
+    world.submit(heads=500, id="wk-000002", rank="idle")
+    world.pass_time(6.0)
+    world.cloud.full = True
+    low = len(world.running())
+    world.submit(heads=1, rank="urgent", cpus=4.0, memoryGb=4.0, sundownS=40.0)
+    world.pass_time(3.0)
+    assert "wk-000001/0" in world.running()
+    assert low > len([t for t in world.running() if t.startswith("wk-000002")])
+    assert len(world.running()) == len(set(world.running()))
+
+
+def test_a_gang_starts_all_or_none_and_again_with_one_new_attempt(world):
+    world.lead()
+    world.submit(heads=3, breed="group", stookS=10.0, baleS=1.0)
+    world.pass_time(6.0)
+    assert len(world.running()) == 3
+    # One member fails; the others notice and leave; all start again together.
+    members = [(w, key) for w in world.workers.values() for key in w.tasks]
+    members[0][0].end(members[0][1], "error")
+    world.pass_time(2.0)
+    assert len(world.running()) == 2, "no new member while old ones run"
+    for worker, key in members[1:]:
+        worker.end(key, "mates_gone")
+    world.pass_time(6.0)
+    attempts = {task["round"] for w in world.workers.values() for task in w.tasks.values()}
+    assert len(world.running()) == 3 and attempts == {2}
