--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -191,10 +191,12 @@
                     self.condemn(machine, f"silent for {silence:.1f} s")
                 elif self.silent(machine):
                     self._leader.sender.greet(machine.id)
-            elif machine.placements:
-                # Known from the store only: its worker may still look for the new leader.
-                if now - self._began > self._facts.workers.lease_s:
-                    self.condemn(machine, "silent since before this term")
+            elif machine.placements or machine.addr is not None:
+                # It was up under an earlier leader: its worker may still look for the new one.
+                if machine.addr is not None:
+                    self._leader.sender.greet(machine.id)
+                if now - max(self._began, machine.known_at) > self._facts.workers.lease_s:
+                    self.condemn(machine, "silent since it is known to this term")
             else:
                 boot = machine.type.boot_s if machine.type else 60.0
                 waited = now - max(machine.rented_at, Instant(0.0))
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -262,6 +262,7 @@
     world.submit(heads=500, id="wk-000002", rank="idle")
     world.pass_time(6.0)
     world.cloud.full = True
+    world.pass_time(3.0)
     low = len(world.running())
     world.submit(heads=1, rank="urgent", cpus=4.0, memoryGb=4.0, sundownS=40.0)
     world.pass_time(3.0)
