--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -393,7 +393,7 @@
         changes.extend(sm.Drop(chunk) for chunk in with_it)
 
         def done(mark: Mark) -> None:
-            log.info("job %s ended: %s", job.id, standing.value)
+            log.info("job %s ended: %s%s", job.id, standing.value, self._lateness(job))
             for chunk in chunks[len(with_it) :]:
                 self._drop_later(chunk)
             self.book.remove(job.id)
@@ -401,6 +401,11 @@
 
         return Built([sm.Condition(key, job.mark)], changes, done)
 
+    def _lateness(self, job: Job) -> str:
+        took = self.now - job.submitted
+        due = job.spec.deadline_s
+        return f", {took:.0f} s after its submission" + (f", due after {due:.0f} s" if due is not None else "")
+
     def _drop_later(self, key: str) -> None:
         self.committer.add(("drop", key), lambda: Built([], [sm.Drop(key)], lambda mark: None), False)
 
