--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -244,8 +244,6 @@
         elif now - self._pressed_at > self._operator.drain_after_s:
             for machine in roster:
                 machine.draining = machine.kind in self._dear and machine.up
-                if machine.draining:
-                    self._move_off(machine)
         else:
             for machine in roster:
                 machine.draining = False
