--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -36,6 +36,7 @@
 from meadowcross.leadership.messages import LEADER_KEY
 from meadowcross.placement.engine import (
     Choice,
+    Hold,
     Offer,
     Replica,
     Room,
@@ -45,6 +46,7 @@
     order,
     place,
     preempt,
+    preempt_gang,
     talks,
 )
 from meadowcross.store import messages as sm
@@ -105,6 +107,7 @@
         self._pass_set = False
         self._moved_at = self.now
         self._prompt = {o.job_class for o in settings.facts.objectives if o.kind == "wait"}
+        self._holds: dict[MachineId, Hold] = {}
         self._giving_way: dict[JobId, list[Placement]] = {}
         self._within = {
             o.job_class: o.within_s
@@ -664,8 +667,9 @@
         if deadline is not None:
             slack = job.submitted + deadline - self.now - self.book.expected_run(spec)
         team = self._teams[spec.team]
-        borrowing = team.cpus > 0 and self.book.use_of(spec.team).cpus + spec.cpus > team.cpus + EPSILON
-        want = Want(job.id, spec, job.waiting_count, job.rank, slack, job.retrying, borrowing)
+        within = max(0, int((team.cpus - self.book.use_of(spec.team).cpus + EPSILON) / spec.cpus))
+        borrowing = within == 0
+        want = Want(job.id, spec, job.waiting_count, job.rank, slack, job.retrying, borrowing, within)
         if spec.one_zone or spec.spread or job.is_gang:
             for placement in job.placed.values():
                 machine = self.roster.machines.get(placement.machine)
@@ -693,7 +697,7 @@
         wants = self.wants()
         if wants:
             offers, rooms = self.offers(), self.rooms()
-            choices = place(offers, wants, rooms, self._operator)
+            choices = place(offers, wants, rooms, self._operator, self._holds)
             self._take_places(choices)
             self._preempt(wants, choices, offers, rooms)
         self._flush_dirty()
@@ -718,17 +722,31 @@
                 self._giving_way[job_id] = left
             else:
                 del self._giving_way[job_id]
+        for name, hold in list(self._holds.items()):
+            if hold.job not in self._giving_way:
+                del self._holds[name]
         victims: list[Victim] | None = None
         for want in sorted(wants, key=order):
             short = min(want.count - placed.get(want.job, 0), rooms[want.spec.team].tasks(want.spec))
-            if short <= 0 or want.rank >= LOWEST_RANK or talks(want.spec) or want.job in self._giving_way:
+            if short <= 0 or want.job in self._giving_way:
+                continue
+            if want.rank >= LOWEST_RANK and want.guaranteed == 0:
                 continue
             if victims is None:
                 victims = self._victims()
             if not self._in_hurry(want, victims):
                 # What waits without harm lets the others keep what they have done.
                 continue
-            chosen = preempt(want, short, offers, victims)
+            if talks(want.spec):
+                if short < want.count:
+                    continue
+                chosen, machines = preempt_gang(want, offers, victims, self._operator)
+                if chosen:
+                    self._holds.update((name, Hold(want.job, want.rank)) for name in machines)
+            else:
+                chosen = preempt(want, short, offers, victims)
+                if any(v.rank <= want.rank for v in chosen):
+                    self._holds.update((v.machine, Hold(want.job, want.rank)) for v in chosen)
             if not chosen:
                 continue
             taken = {id(victim) for victim in chosen}
@@ -747,7 +765,9 @@
         return (
             spec.job_class in self._prompt
             or want.slack < HURRY_RUNS * self.book.expected_run(spec) + HURRY_S
+            or talks(spec)
             or any(v.rank > want.rank and v.cpus < spec.cpus for v in victims)
+            or (want.guaranteed > 0 and any(v.borrowed and v.team != spec.team for v in victims))
         )
 
     def _still_placed(self, placement: Placement) -> bool:
@@ -758,6 +778,7 @@
         """Tasks that may be stopped at once: not a gang's, whose whole attempt would be lost."""
         now = self.now
         victims = []
+        over = {t.name: self.book.use_of(t.name).cpus - t.cpus for t in self._teams.values()}
         for machine in self.roster.machines.values():
             if not self.offerable(machine):
                 continue
@@ -775,7 +796,19 @@
                 spec = job.spec
                 victims.append(
                     Victim(
-                        placement, machine.id, job.rank, spec.cpus, spec.gpus, spec.memory_gb, lost * spec.cpus
+                        placement,
+                        machine.id,
+                        job.rank,
+                        spec.cpus,
+                        spec.gpus,
+                        spec.memory_gb,
+                        lost * spec.cpus,
+                        spec.team,
                     )
                 )
+        # Of what a team borrows, its least important and least costly tasks are to go.
+        for victim in sorted(victims, key=lambda v: (-v.rank, v.loss)):
+            if over.get(victim.team, 0.0) >= victim.cpus:
+                victim.borrowed = True
+                over[victim.team] -= victim.cpus
         return victims
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -10,7 +10,7 @@
 import heapq
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from meadowcross.common.settings import Operator
@@ -53,6 +53,8 @@
     slack: Seconds
     retrying: bool = False
     borrowing: bool = False
+    guaranteed: int = 0
+    """How many of its tasks are still within its team's guarantee."""
     siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
     """Per machine: its zone and how many of the job's tasks count there."""
 
@@ -125,9 +127,28 @@
     return (want.rank, want.borrowing, not want.retrying, want.slack, want.job)
 
 
-def place(offers: Iterable[Offer], wants: Iterable[Want], rooms: dict[str, Room], weights: Operator) -> list[Choice]:
+class Hold(NamedTuple):
+    """A machine where room is being made for a gang, or for work within a guarantee:
+    neither lower priority nor borrowing work may take it."""
+
+    job: JobId
+    rank: int
+
+
+def may_enter(want: Want, hold: Hold | None) -> bool:
+    return hold is None or hold.job == want.job or (want.rank < hold.rank and not want.borrowing)
+
+
+def place(
+    offers: Iterable[Offer],
+    wants: Iterable[Want],
+    rooms: dict[str, Room],
+    weights: Operator,
+    holds: dict[MachineId, Hold] | None = None,
+) -> list[Choice]:
     """Choose machines for as many tasks as fit, in queue order."""
     offered = list(offers)
+    held = holds or {}
     full: set[tuple[object, ...]] = set()
     choices: list[Choice] = []
     for want in sorted(wants, key=order):
@@ -142,7 +163,13 @@
             continue
         if count == 0:
             continue
-        fitting = [o for o in offered if allowed(spec, o.kind) and o.fits(spec)]
+        fitting = [
+            o
+            for o in offered
+            if allowed(spec, o.kind)
+            and o.fits(spec)
+            and may_enter(want, held.get(o.machine))
+        ]
         if plain:
             machines = _fill(spec, fitting, count, weights)
             if len(machines) < count:
@@ -247,16 +274,34 @@
     memory_gb: float
     loss: float
     """CPU seconds of progress that stopping it now throws away."""
+    team: str = ""
+    borrowed: bool = False
+    """Its team uses more than its guarantee, this task's share of it included."""
 
 
-def preempt(want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim]) -> list[Victim]:
-    """The victims that make room for `count` tasks of the want at the least loss, machines
-    that hold its image first. Only strictly lower priority gives way."""
-    spec = want.spec
+def yields(victim: Victim, want: Want) -> bool:
+    """Lower priority gives way, and what another team runs beyond its guarantee gives way to
+    work within one, at any priority. Work beyond its guarantee takes nothing from within
+    another team's: the two would take turns stopping each other."""
+    same_team = victim.team == want.spec.team
+    if victim.rank > want.rank:
+        return same_team or victim.borrowed or not want.borrowing
+    return victim.borrowed and want.guaranteed > 0 and not same_team
+
+
+def _yielding(want: Want, victims: Iterable[Victim]) -> dict[MachineId, list[Victim]]:
     by_machine: dict[MachineId, list[Victim]] = {}
     for victim in victims:
-        if victim.rank > want.rank:
+        if yields(victim, want):
             by_machine.setdefault(victim.machine, []).append(victim)
+    return by_machine
+
+
+def preempt(want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim]) -> list[Victim]:
+    """The victims that make room for `count` tasks of the want at the least loss, machines
+    that hold its image first."""
+    spec = want.spec
+    by_machine = _yielding(want, victims)
     options: list[tuple[bool, float, MachineId, list[Victim]]] = []
     for offer in offers:
         candidates = by_machine.get(offer.machine)
@@ -284,7 +329,63 @@
                 if slots >= count:
                     break
     options.sort(key=lambda option: option[:3])
-    return [victim for option in options[:count] for victim in option[3]]
+    chosen_victims: list[Victim] = []
+    promised = want.guaranteed
+    for *_, chosen in options:
+        if count == 0:
+            break
+        if any(v.rank <= want.rank for v in chosen):
+            if promised == 0:
+                continue
+            promised -= 1
+        count -= 1
+        chosen_victims.extend(chosen)
+    return chosen_victims
+
+
+def preempt_gang(
+    want: Want, offers: Iterable[Offer], victims: Iterable[Victim], weights: Operator
+) -> tuple[list[Victim], set[MachineId]]:
+    """The victims that make room for a whole gang, and its machines, where to hold the
+    room until all of it is free; nothing where even that would not do."""
+    spec = want.spec
+    by_machine = _yielding(want, victims)
+    cleared = []
+    for offer in offers:
+        if not allowed(spec, offer.kind):
+            continue
+        room = by_machine.get(offer.machine, [])
+        cleared.append(
+            replace(
+                offer,
+                free_cpus=offer.free_cpus + sum(v.cpus for v in room),
+                free_gpus=offer.free_gpus + sum(v.gpus for v in room),
+                free_memory=offer.free_memory + sum(v.memory_gb for v in room),
+            )
+        )
+    machines = Counter(_constrained(want, cleared, want.count, weights))
+    free = {o.machine: o for o in offers}
+    chosen: list[Victim] = []
+    for name, count in machines.items():
+        rest = replace(free[name])
+        for victim in sorted(by_machine.get(name, []), key=lambda v: v.loss / v.cpus):
+            if count_fitting(rest, spec) >= count:
+                break
+            rest.free_cpus += victim.cpus
+            rest.free_gpus += victim.gpus
+            rest.free_memory += victim.memory_gb
+            chosen.append(victim)
+    return chosen, set(machines)
+
+
+def count_fitting(offer: Offer, spec: JobSpec) -> int:
+    """How many tasks of the job the offer's room holds."""
+    most = offer.free_cpus / spec.cpus
+    if spec.gpus > 0:
+        most = min(most, offer.free_gpus / spec.gpus)
+    if spec.memory_gb > 0:
+        most = min(most, offer.free_memory / spec.memory_gb)
+    return int(most + EPSILON)
 
 
 @dataclass(slots=True)
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -11,6 +11,7 @@
 from meadowcross.common.types import JobId, MachineId, MachineKind
 from meadowcross.jobs.messages import JobSpec
 from meadowcross.placement.engine import (
+    Hold,
     Offer,
     Replica,
     Room,
@@ -20,6 +21,7 @@
     network_term,
     place,
     preempt,
+    preempt_gang,
     resource_term,
     score,
 )
@@ -155,3 +157,34 @@
     assert [v.key for v in preempt(want(rank=1), 3, offers, victims)] == ["cheap", "dear", "cold"]
     assert preempt(want(rank=3), 1, offers, victims) == []
     assert [v.key for v in preempt(want(rank=0, cpus=2.0), 1, offers, victims)] == ["same", "cheap"]
+
+
+def test_what_a_team_borrows_gives_way_to_a_guarantee_at_any_priority():
+    victims = [Victim("b", MachineId("m"), 0, 1.0, 0.0, 2.0, 1.0, "b", True)]
+    within = want(rank=3, steward="a")
+    assert preempt(within, 1, [offer("m", cpus=0.0)], victims) == []
+    within.guaranteed = 1
+    assert [v.key for v in preempt(within, 2, [offer("m", cpus=0.0)], victims * 2)] == ["b"]
+    victims[0].team = "a"
+    assert preempt(within, 1, [offer("m", cpus=0.0)], victims) == []
+    # Work beyond its own guarantee takes nothing from within another team's.
+    guarded = [Victim("g", MachineId("m"), 3, 1.0, 0.0, 2.0, 1.0, "b", False)]
+    beyond = want(rank=0, steward="a")
+    beyond.borrowing = True
+    assert preempt(beyond, 1, [offer("m", cpus=0.0)], guarded) == []
+    beyond.borrowing = False
+    assert [v.key for v in preempt(beyond, 1, [offer("m", cpus=0.0)], guarded)] == ["g"]
+
+
+def test_room_is_made_for_a_whole_gang_or_not_at_all_and_held_from_lower_priority():
+    offers = [offer("x", cpus=1.0), offer("y", cpus=0.0, zone="west")]
+    victims = [Victim(i, MachineId(name), 3, 1.0, 0.0, 2.0, float(i)) for i, name in enumerate("xyy")]
+    gang = want(rank=1, heads=4, breed="group")
+    chosen, machines = preempt_gang(gang, offers, victims, WEIGHTS)
+    assert sorted(v.key for v in chosen) == [0, 1, 2] and machines == {"x", "y"}
+    assert preempt_gang(want(rank=1, heads=5, breed="group"), offers, victims, WEIGHTS) == ([], set())
+    assert [o.free_cpus for o in offers] == [1.0, 0.0]
+    holds = {MachineId("x"): Hold(gang.job, 1)}
+    low, high = want(id="wk-000007", rank=2, heads=1), want(id="wk-000008", rank=0, heads=1)
+    assert place(offers, [low], rooms(), WEIGHTS, holds) == []
+    assert [c.job for c in place(offers, [low, high], rooms(), WEIGHTS, holds)] == ["wk-000008"]
