--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -42,11 +42,12 @@
     Room,
     Victim,
     Want,
+    constrained,
     moves,
     order,
     place,
     preempt,
-    preempt_gang,
+    preempt_constrained,
     talks,
 )
 from meadowcross.store import messages as sm
@@ -108,6 +109,7 @@
         self._moved_at = self.now
         self._prompt = {o.job_class for o in settings.facts.objectives if o.kind == "wait"}
         self._holds: dict[MachineId, Hold] = {}
+        self._asked: dict[JobId, tuple[Instant, int]] = {}
         self._giving_way: dict[JobId, list[Placement]] = {}
         self._within = {
             o.job_class: o.within_s
@@ -401,6 +403,7 @@
                 self._drop_later(chunk)
             self.book.remove(job.id)
             self.health.forget_job(job.id)
+            self._asked.pop(job.id, None)
 
         return Built([sm.Condition(key, job.mark)], changes, done)
 
@@ -732,15 +735,19 @@
                 continue
             if want.rank >= LOWEST_RANK and want.guaranteed == 0:
                 continue
+            asked_at, asked_for = self._asked.get(want.job, (Instant(0.0), 0))
+            if want.count >= asked_for and now - asked_at < GIVE_WAY_S:
+                # What gave way last time did not help this job, so nothing more does yet.
+                continue
             if victims is None:
                 victims = self._victims()
             if not self._in_hurry(want, victims):
                 # What waits without harm lets the others keep what they have done.
                 continue
-            if talks(want.spec):
-                if short < want.count:
+            if constrained(want.spec):
+                if talks(want.spec) and short < want.count:
                     continue
-                chosen, machines = preempt_gang(want, offers, victims, self._operator)
+                chosen, machines = preempt_constrained(want, short, offers, victims, self._operator)
                 if chosen:
                     self._holds.update((name, Hold(want.job, want.rank)) for name in machines)
             else:
@@ -754,6 +761,7 @@
             placements = [v.key for v in chosen if isinstance(v.key, Placement)]
             log.info("job %s: %d tasks give way", want.job, len(placements))
             self._giving_way[want.job] = placements
+            self._asked[want.job] = (now, want.count)
             for placement in placements:
                 self.stop_task(placement, 0.0)
 
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -122,6 +122,11 @@
     return spec.kind is Kind.GANG
 
 
+def constrained(spec: JobSpec) -> bool:
+    """Where one task may go depends on where the others are."""
+    return spec.one_zone or spec.spread or talks(spec)
+
+
 def order(want: Want) -> tuple[int, bool, bool, Seconds, JobId]:
     """Strictly by priority; then work inside a guarantee, retries, and least slack."""
     return (want.rank, want.borrowing, not want.retrying, want.slack, want.job)
@@ -154,7 +159,7 @@
     for want in sorted(wants, key=order):
         spec = want.spec
         shape = (spec.cpus, spec.gpus, spec.memory_gb, spec.spot, spec.zone, tuple(spec.types or ()))
-        plain = not (spec.one_zone or spec.spread or talks(spec))
+        plain = not constrained(spec)
         if plain and shape in full:
             continue
         room = rooms[spec.team]
@@ -343,11 +348,11 @@
     return chosen_victims
 
 
-def preempt_gang(
-    want: Want, offers: Iterable[Offer], victims: Iterable[Victim], weights: Operator
+def preempt_constrained(
+    want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim], weights: Operator
 ) -> tuple[list[Victim], set[MachineId]]:
-    """The victims that make room for a whole gang, and its machines, where to hold the
-    room until all of it is free; nothing where even that would not do."""
+    """The victims that make room where the job's zones allow it, for a gang all of it or
+    none, and the machines, where to hold the room until all of it is free."""
     spec = want.spec
     by_machine = _yielding(want, victims)
     cleared = []
@@ -363,13 +368,13 @@
                 free_memory=offer.free_memory + sum(v.memory_gb for v in room),
             )
         )
-    machines = Counter(_constrained(want, cleared, want.count, weights))
+    machines = Counter(_constrained(want, cleared, count, weights))
     free = {o.machine: o for o in offers}
     chosen: list[Victim] = []
-    for name, count in machines.items():
+    for name, tasks in machines.items():
         rest = replace(free[name])
         for victim in sorted(by_machine.get(name, []), key=lambda v: v.loss / v.cpus):
-            if count_fitting(rest, spec) >= count:
+            if count_fitting(rest, spec) >= tasks:
                 break
             rest.free_cpus += victim.cpus
             rest.free_gpus += victim.gpus
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -21,7 +21,7 @@
     network_term,
     place,
     preempt,
-    preempt_gang,
+    preempt_constrained,
     resource_term,
     score,
 )
@@ -180,11 +180,22 @@
     offers = [offer("x", cpus=1.0), offer("y", cpus=0.0, zone="west")]
     victims = [Victim(i, MachineId(name), 3, 1.0, 0.0, 2.0, float(i)) for i, name in enumerate("xyy")]
     gang = want(rank=1, heads=4, breed="group")
-    chosen, machines = preempt_gang(gang, offers, victims, WEIGHTS)
+    chosen, machines = preempt_constrained(gang, 4, offers, victims, WEIGHTS)
     assert sorted(v.key for v in chosen) == [0, 1, 2] and machines == {"x", "y"}
-    assert preempt_gang(want(rank=1, heads=5, breed="group"), offers, victims, WEIGHTS) == ([], set())
+    assert preempt_constrained(want(rank=1, heads=5, breed="group"), 5, offers, victims, WEIGHTS) == ([], set())
     assert [o.free_cpus for o in offers] == [1.0, 0.0]
     holds = {MachineId("x"): Hold(gang.job, 1)}
     low, high = want(id="wk-000007", rank=2, heads=1), want(id="wk-000008", rank=0, heads=1)
     assert place(offers, [low], rooms(), WEIGHTS, holds) == []
     assert [c.job for c in place(offers, [low, high], rooms(), WEIGHTS, holds)] == ["wk-000008"]
+
+
+def test_nothing_gives_way_in_a_zone_where_a_spread_job_may_not_go():
+    """Once a spread service had tasks stopped every 30 ms in a zone that was full for it."""
+    offers = [offer("x", cpus=0.0), offer("y", cpus=0.0, zone="west")]
+    east = [Victim("e", MachineId("x"), 3, 1.0, 0.0, 2.0, 0.0)]
+    west = [Victim("w", MachineId("y"), 3, 1.0, 0.0, 2.0, 9.0)]
+    siblings = {MachineId("z"): ("east", 2)}
+    spread = want(rank=1, heads=3, count=1, breed="daemon", scatter=True, siblings=siblings)
+    assert preempt_constrained(spread, 1, offers, east, WEIGHTS) == ([], set())
+    assert [v.key for v in preempt_constrained(spread, 1, offers, east + west, WEIGHTS)[0]] == ["w"]
