--- a/meadowcross/jobs/book.py
+++ b/meadowcross/jobs/book.py
@@ -217,24 +217,25 @@
     def gone(self, placement: Placement) -> None:
         """The placement is proven gone, or its start was never sent: the task waits again."""
         with self._lock:
-            job = self.jobs.get(placement.task.job)
-            if job is None or job.placed.get(placement.task.number) is not placement:
-                return
-            del job.placed[placement.task.number]
-            self._count(job, -1)
-            job.give_back(placement.task.number)
-            self.mark_dirty(job, placement.task.number, False)
+            job = self._take_off(placement)
+            if job is not None:
+                job.give_back(placement.task.number)
 
     def task_done(self, placement: Placement) -> None:
         with self._lock:
-            job = self.jobs.get(placement.task.job)
-            if job is None or job.placed.get(placement.task.number) is not placement:
-                return
-            del job.placed[placement.task.number]
-            self._count(job, -1)
-            job.done[placement.task.number] = 1
-            job.done_count += 1
-            self.mark_dirty(job, placement.task.number, False)
+            job = self._take_off(placement)
+            if job is not None:
+                job.done[placement.task.number] = 1
+                job.done_count += 1
+
+    def _take_off(self, placement: Placement) -> Job | None:
+        job = self.jobs.get(placement.task.job)
+        if job is None or job.placed.get(placement.task.number) is not placement:
+            return None
+        del job.placed[placement.task.number]
+        self._count(job, -1)
+        self.mark_dirty(job, placement.task.number, False)
+        return job
 
     def learn_run(self, job: Job, seconds: Seconds) -> None:
         """Correct the owners' estimates of the class by what was seen."""
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -752,7 +752,7 @@
                     self._holds.update((name, Hold(want.job, want.rank)) for name in machines)
             else:
                 chosen = preempt(want, short, offers, victims)
-                if any(v.rank <= want.rank for v in chosen):
+                if any(v.rank == want.rank for v in chosen):
                     self._holds.update((v.machine, Hold(want.job, want.rank)) for v in chosen)
             if not chosen:
                 continue
@@ -775,7 +775,10 @@
             or want.slack < HURRY_RUNS * self.book.expected_run(spec) + HURRY_S
             or talks(spec)
             or any(v.rank > want.rank and v.cpus < spec.cpus for v in victims)
-            or (want.guaranteed > 0 and any(v.borrowed and v.team != spec.team for v in victims))
+            or (
+                want.guaranteed > 0
+                and any(v.borrowed and v.rank == want.rank and v.team != spec.team for v in victims)
+            )
         )
 
     def _still_placed(self, placement: Placement) -> bool:
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -133,15 +133,15 @@
 
 
 class Hold(NamedTuple):
-    """A machine where room is being made for a gang, or for work within a guarantee:
-    neither lower priority nor borrowing work may take it."""
+    """A machine where room is being made for a job bound by zones or a guarantee:
+    nothing else but higher priority may take it."""
 
     job: JobId
     rank: int
 
 
 def may_enter(want: Want, hold: Hold | None) -> bool:
-    return hold is None or hold.job == want.job or (want.rank < hold.rank and not want.borrowing)
+    return hold is None or hold.job == want.job or want.rank < hold.rank
 
 
 def place(
@@ -285,13 +285,13 @@
 
 
 def yields(victim: Victim, want: Want) -> bool:
-    """Lower priority gives way, and what another team runs beyond its guarantee gives way to
-    work within one, at any priority. Work beyond its guarantee takes nothing from within
-    another team's: the two would take turns stopping each other."""
-    same_team = victim.team == want.spec.team
-    if victim.rank > want.rank:
-        return same_team or victim.borrowed or not want.borrowing
-    return victim.borrowed and want.guaranteed > 0 and not same_team
+    """Lower priority gives way; so does work of the same priority that another team runs
+    beyond its guarantee, to work within one. Higher priority never gives way to a
+    guarantee: the users want the stated priority kept without exception, and the two
+    would take turns stopping each other."""
+    if victim.rank != want.rank:
+        return victim.rank > want.rank
+    return victim.borrowed and want.guaranteed > 0 and victim.team != want.spec.team
 
 
 def _yielding(want: Want, victims: Iterable[Victim]) -> dict[MachineId, list[Victim]]:
@@ -339,7 +339,7 @@
     for *_, chosen in options:
         if count == 0:
             break
-        if any(v.rank <= want.rank for v in chosen):
+        if any(v.rank == want.rank for v in chosen):
             if promised == 0:
                 continue
             promised -= 1
