--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -777,6 +777,7 @@
             or any(v.rank > want.rank and v.cpus < spec.cpus for v in victims)
             or (
                 want.guaranteed > 0
+                and spec.deadline_s is None
                 and any(v.borrowed and v.rank == want.rank and v.team != spec.team for v in victims)
             )
         )
