--- a/meadowcross/common/http.py
+++ b/meadowcross/common/http.py
@@ -74,9 +74,6 @@
         except Exception as error:
             raise Unanswered(f"{address}: {type(error).__name__}") from error
 
-    def close(self) -> Any:
-        return self._pool.closeCachedConnections()
-
 
 class _Immediate:
     """A cooperator that runs small bodies at once, with no timer steps between."""
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -51,7 +51,7 @@
     roster: Roster
     sender: Sender
 
-    def _add_machine(self, machine: MachineId, kind: MachineKind) -> Machine: ...
+    def add_machine(self, machine: MachineId, kind: MachineKind) -> Machine: ...
     def store_machine(self, machine: Machine) -> None: ...
     def machine_gone(self, name: MachineId) -> None: ...
     def wants(self) -> list[Want]: ...
@@ -153,7 +153,7 @@
             if listed.id in self._deleted:
                 continue
             new = listed.id not in self._leader.roster.machines
-            machine = self._leader._add_machine(listed.id, listed.kind)
+            machine = self._leader.add_machine(listed.id, listed.kind)
             if new:
                 # Rented by an earlier leader, or by a request executed late: used or returned.
                 log.info("machine %s found in the list: %s", listed.id, listed.state)
@@ -383,5 +383,5 @@
             return
         for name in names:
             if name not in self._deleted:
-                machine = self._leader._add_machine(name, kind)
+                machine = self._leader.add_machine(name, kind)
                 self._leader.store_machine(machine)
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -10,7 +10,7 @@
 from meadowcross.common.types import EPSILON, MachineId, MachineKind, Seconds
 from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs.messages import JobSpec
-from meadowcross.placement.engine import allowed
+from meadowcross.placement.engine import allowed, slots
 
 MIN_CHARGE_S: Seconds = 60.0
 """The protocol charges a deleted machine for at least this long."""
@@ -74,16 +74,6 @@
     machines: int
 
 
-def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
-    """How many tasks of the job a room holds."""
-    most = cpus / spec.cpus
-    if spec.gpus > 0:
-        most = min(most, gpus / spec.gpus)
-    if spec.memory_gb > 0:
-        most = min(most, memory_gb / spec.memory_gb)
-    return int(most + EPSILON)
-
-
 def dear_kinds(types: Iterable[MachineType], multiple: float) -> set[MachineKind]:
     """Kinds whose CPUs cost more than `multiple` times the cheapest: paid only under pressure."""
     prices = {
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -144,10 +144,6 @@
         now = self._clock.seconds()
         return any(now - at < FRESH_S and beat.store_ok for at, beat in self._beats.values())
 
-    def heard_lately(self, peer: NodeName) -> bool:
-        beat = self._beats.get(peer)
-        return beat is not None and self._clock.seconds() - beat[0] < FRESH_S
-
     async def ask_progress(self, leader: NodeName, job: JobId) -> tuple[int, int] | None:
         """The leader's counts, or None where it doesn't know or doesn't answer soon."""
         line = self._lines.get(leader)
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -181,7 +181,7 @@
         for item in machines:
             record = fm.decode_record(item.value)
             kind = MachineKind(record.type, record.zone, record.spot)
-            machine = self._add_machine(MachineId(item.key.removeprefix(fm.MACHINES)), kind)
+            machine = self.add_machine(MachineId(item.key.removeprefix(fm.MACHINES)), kind)
             machine.addr = record.addr
             machine.rented_at = Instant(min(now, record.rented))
             machine.stored = True
@@ -197,7 +197,7 @@
             first = job.chunk_range(chunk).start
             for index, attempt, name in job.load_chunk(first, jm.decode_chunk(item.value)):
                 placement = self.book.inherit(job, index, attempt, name, now)
-                machine = self._add_machine(MachineId(name), MachineKind("", "", False))
+                machine = self.add_machine(MachineId(name), MachineKind("", "", False))
                 self.roster.attach(machine, placement, job.spec)
         for job in list(self.book.jobs.values()):
             job.rebuild_waiting()
@@ -255,7 +255,7 @@
 
     # Reports and outcomes
 
-    def _add_machine(self, machine: MachineId, kind: MachineKind) -> Machine:
+    def add_machine(self, machine: MachineId, kind: MachineKind) -> Machine:
         known = self.roster.machines.get(machine)
         if known is None:
             known = self.roster.add(Machine(machine, kind, self.type_named(kind.type), self.now))
@@ -293,7 +293,7 @@
             self._stand_down(str(error))
 
     def _take(self, report: wm.Report) -> bool:
-        machine = self._add_machine(report.machine, MachineKind(report.type, report.zone, report.spot))
+        machine = self.add_machine(report.machine, MachineKind(report.type, report.zone, report.spot))
         first = not machine.up
         had_addr = machine.addr
         was_confirmed = machine.confirmed
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -374,7 +374,7 @@
     for name, tasks in machines.items():
         rest = replace(free[name])
         for victim in sorted(by_machine.get(name, []), key=lambda v: v.loss / v.cpus):
-            if count_fitting(rest, spec) >= tasks:
+            if slots(spec, rest.free_cpus, rest.free_gpus, rest.free_memory) >= tasks:
                 break
             rest.free_cpus += victim.cpus
             rest.free_gpus += victim.gpus
@@ -383,13 +383,13 @@
     return chosen, set(machines)
 
 
-def count_fitting(offer: Offer, spec: JobSpec) -> int:
-    """How many tasks of the job the offer's room holds."""
-    most = offer.free_cpus / spec.cpus
+def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
+    """How many tasks of the job a room holds."""
+    most = cpus / spec.cpus
     if spec.gpus > 0:
-        most = min(most, offer.free_gpus / spec.gpus)
+        most = min(most, gpus / spec.gpus)
     if spec.memory_gb > 0:
-        most = min(most, offer.free_memory / spec.memory_gb)
+        most = min(most, memory_gb / spec.memory_gb)
     return int(most + EPSILON)
 
 
--- a/meadowcross/store/budget.py
+++ b/meadowcross/store/budget.py
@@ -69,9 +69,6 @@
             self._arm()
         return ready
 
-    def waiting(self, urgency: Urgency) -> int:
-        return len(self._waiting[urgency])
-
     def _arm(self) -> None:
         if not self._timer_set:
             self._timer_set = True
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -63,10 +63,6 @@
         self._requests = Budget(self._clock, self._facts.rps * share, self._facts.rps * share)
         self._writes = Budget(self._clock, self._facts.write_rps * share, self._facts.write_rps * share)
 
-    @property
-    def write_budget(self) -> Budget:
-        return self._writes
-
     def answering(self) -> bool:
         """Whether the last call was answered properly."""
         return self.failing_since is None
--- a/meadowcross/store/commit.py
+++ b/meadowcross/store/commit.py
@@ -79,9 +79,6 @@
         if urgent:
             self._ring()
 
-    def backlog(self) -> int:
-        return len(self._urgent) + len(self._later)
-
     def _ring(self) -> None:
         wake, self._wake = self._wake, None
         if wake is not None:
