Read-through: state that nothing read is gone, checks that stood twice call one piece

Unread: Machine.unanswered and lost_at (open starts already say it), Job.peek_waiting, the link's node name. Now called instead of written again: _still_placed, constrained, price_of. A local name that hid the function slots, a redundant bound, and a comment that misled.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -123,7 +123,7 @@
             return Beat(node, self.store.answering(), self.election.token)
 
         self.election = Election(reactor, self.store, node, uuid.uuid4().hex, operator.hold_s, begin_term)
-        self.link = PeerLink(reactor, node, settings.peers, beat, own_progress)
+        self.link = PeerLink(reactor, settings.peers, beat, own_progress)
         self.router = Router()
         JobApi(
             reactor,
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -77,7 +77,7 @@
 def dear_kinds(types: Iterable[MachineType], multiple: float) -> set[MachineKind]:
     """Kinds whose CPUs cost more than `multiple` times the cheapest: paid only under pressure."""
     prices = {
-        MachineKind(t.name, zone, spot): (t.spot_price if spot else t.price) / t.cpus
+        (kind := MachineKind(t.name, zone, spot)): price_of(kind, t) / t.cpus
         for t in types
         for zone in t.zones
         for spot in (True, False)
@@ -164,13 +164,12 @@
         rentals[kind] = rentals.get(kind, 0) + machines
         chosen = types[kind.type]
         per_machine = slots(need.spec, chosen.cpus, chosen.gpus, chosen.memory_gb)
-        spare = machines * per_machine - left
-        coming.append(
-            Coming(
+        if machines * per_machine > left:
+            spare = Coming(
                 kind,
                 machines * chosen.cpus - left * need.spec.cpus,
                 machines * chosen.gpus - left * need.spec.gpus,
                 machines * chosen.memory_gb - left * need.spec.memory_gb,
             )
-        ) if spare else None
+            coming.append(spare)
     return [Rental(kind, count) for kind, count in rentals.items()]
--- a/meadowcross/jobs/book.py
+++ b/meadowcross/jobs/book.py
@@ -99,9 +99,6 @@
     def give_back(self, index: int) -> None:
         heapq.heappush(self._waiting, (0, index))
 
-    def peek_waiting(self) -> list[int]:
-        return [index for _, index in sorted(self._waiting)]
-
     def load_chunk(self, first: int, entries: Iterable[int | tuple[int, str]]) -> Iterator[tuple[int, int, str]]:
         """Take over a stored chunk; yields the placements it holds."""
         for offset, entry in enumerate(entries):
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -89,13 +89,11 @@
     def __init__(
         self,
         clock: Clock,
-        node: NodeName,
         peers: list[Peer],
         own_beat: Callable[[], m.Beat],
         progress_of: Callable[[JobId], tuple[int, int] | None],
     ) -> None:
         self._clock = clock
-        self._node = node
         self._peers = peers
         self._own_beat = own_beat
         self._progress_of = progress_of
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -306,7 +306,6 @@
             log.info("machine %s (%s) reports first", machine.id, machine.kind.type)
         if machine.version.session > session > 0:
             log.info("machine %s began session %d", machine.id, machine.version.session)
-            machine.unanswered = False
         if machine.taken_at is not None and notice is None:
             log.info("machine %s is taken back in %.0f s", machine.id, machine.taken_at - self.now)
         for outcome in outcomes or ():
@@ -458,17 +457,16 @@
                 job.chunk_marks[chunk] = mark
                 job.stored_done.update(done_now)
                 for placement in storing:
-                    self._stored(job, placement)
+                    self._stored(placement)
 
             return Built(conditions, [sm.Put(key, sm.raw(job.chunk_entries(chunk)))], done)
 
         return build
 
-    def _stored(self, job: Job, placement: Placement) -> None:
-        if job.placed.get(placement.task.number) is not placement:
-            return
-        placement.phase = Phase.STORED
-        self.sender.start(placement)
+    def _stored(self, placement: Placement) -> None:
+        if self._still_placed(placement):
+            placement.phase = Phase.STORED
+            self.sender.start(placement)
 
     def _may_start(self, placement: Placement) -> bool:
         job = self.book.jobs.get(placement.task.job)
@@ -476,14 +474,14 @@
             not self._stopped
             and job is not None
             and job.cancelled is None
-            and job.placed.get(placement.task.number) is placement
+            and self._still_placed(placement)
             and placement.phase is Phase.STORED
         )
 
     def _on_unsent(self, placement: Placement) -> None:
         """The start was certainly not sent: the task is nowhere."""
         job = self.book.jobs.get(placement.task.job)
-        if job is None or placement.started or job.placed.get(placement.task.number) is not placement:
+        if job is None or placement.started or not self._still_placed(placement):
             return
         self.roster.detach(placement, job.spec, self.now)
         self.book.gone(placement)
@@ -673,7 +671,7 @@
         within = max(0, int((team.cpus - self.book.use_of(spec.team).cpus + EPSILON) / spec.cpus))
         borrowing = within == 0
         want = Want(job.id, spec, job.waiting_count, job.rank, slack, job.retrying, borrowing, within)
-        if spec.one_zone or spec.spread or job.is_gang:
+        if constrained(spec):
             for placement in job.placed.values():
                 machine = self.roster.machines.get(placement.machine)
                 zone = machine.kind.zone if machine else ""
@@ -801,7 +799,7 @@
                 if placement.phase not in (Phase.RUNNING, Phase.FETCHING):
                     continue
                 ran = now - placement.running_at if placement.running_at is not None else 0.0
-                if ran > 0 and self.book.expected_run(job.spec) - ran < ALMOST_DONE_S and ran > ALMOST_DONE_S:
+                if ran > ALMOST_DONE_S and self.book.expected_run(job.spec) - ran < ALMOST_DONE_S:
                     continue
                 saved = job.spec.checkpoint_s
                 lost = ran % saved if saved > 0 else ran
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -240,8 +240,7 @@
     in_zone: Counter[str] = Counter()
     for zone, number in siblings.values():
         in_zone[zone] += number
-    # Half of the tasks, rounded up; with fewer placed at the moment it is stricter to
-    # count what is placed, so that the share holds whichever tasks come or go.
+    # Half of all the job's tasks, rounded up, however many of them are placed.
     most_in_zone = (spec.tasks + 1) // 2 if spec.spread else 10**9
     total = 0.0
     machines: list[MachineId] = []
@@ -315,7 +314,7 @@
         candidates.sort(key=lambda v: v.loss / v.cpus)
         free = [offer.free_cpus, offer.free_gpus, offer.free_memory]
         chosen: list[Victim] = []
-        slots = 0
+        made = 0
         for victim in candidates:
             chosen.append(victim)
             free[0] += victim.cpus
@@ -330,8 +329,8 @@
                 options.append((spec.image not in offer.images, loss, offer.machine, chosen))
                 free = [free[0] - spec.cpus, free[1] - spec.gpus, free[2] - spec.memory_gb]
                 chosen = []
-                slots += 1
-                if slots >= count:
+                made += 1
+                if made >= count:
                     break
     options.sort(key=lambda option: option[:3])
     chosen_victims: list[Victim] = []
--- a/meadowcross/workers/commands.py
+++ b/meadowcross/workers/commands.py
@@ -116,8 +116,6 @@
             # The starts stay open: they may be carried out late, so their tasks stay
             # pinned to this machine until its session or our token is over there.
             log.info("%s gave no answer to %d starts: %s", machine.id, len(sent), error)
-            if sent:
-                machine.unanswered = True
             return
         if reply.status not in (200, 409):
             log.error("%s answered %d to commands", machine.id, reply.status)
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -69,13 +69,10 @@
         self.version = ReportVersion(0, 0)
         self.confirmed = False
         self.heard_at: Instant | None = None
-        self.lost_at: Instant | None = None
-        """Since when a leader that never heard it has been waiting for its report."""
         self.taken_at: Instant | None = None
         self.placements: dict[TaskId, Placement] = {}
         self.open_starts: dict[Start, int] = {}
         """Direct starts in flight or unanswered, with their session."""
-        self.unanswered = False
         self.exited: list[m.TaskReport] = []
         self.strays: list[m.TaskReport] = []
         self.images: set[str] = set()
