A burst's machines are asked for at once; long passes pause in proportion

Now as many requests as it takes, spaced by the cloud's rate, 0.1 s after a job came, and without the second of waiting for an earlier leader's machines where none is on record. Requests waiting behind a refusal are dropped.

--- a/meadowcross/fleet/cloud.py
+++ b/meadowcross/fleet/cloud.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from meadowcross.common.clock import Clock
@@ -35,6 +37,9 @@
 
     async def _call(self, method: str, path: str, body: bytes | None, urgency: Urgency) -> Reply:
         await self._budget.take(1.0, urgency)
+        return await self._send(method, path, body)
+
+    async def _send(self, method: str, path: str, body: bytes | None) -> Reply:
         try:
             reply = await self._http.call(method, self._address, path, body, CALL_S)
         except (NotSent, Unanswered) as error:
@@ -52,9 +57,16 @@
         except msgspec.DecodeError as error:
             raise CloudTrouble(f"types: {error}") from error
 
-    async def rent(self, request: str, kind: MachineKind, count: int) -> list[MachineId]:
+    async def rent(
+        self, request: str, kind: MachineKind, count: int, still_wanted: Callable[[], bool]
+    ) -> list[MachineId]:
+        """`still_wanted` is asked when the request's turn has come: what waited behind a
+        refusal for the same kind would only spend the rate."""
         body = m.encode(m.RentalRequest(request, kind.type, kind.zone, kind.spot, min(count, m.MAX_RENT)))
-        reply = await self._call("POST", "/rentals", body, Urgency.USER)
+        await self._budget.take(1.0, Urgency.USER)
+        if not still_wanted():
+            raise NoCapacity(f"{kind}, by an earlier answer")
+        reply = await self._send("POST", "/rentals", body)
         if reply.status == 503 and b"no capacity" in reply.body:
             raise NoCapacity(f"{kind}")
         if reply.status != 200:
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -35,6 +35,8 @@
 log = logger("fleet")
 
 TICK_S: Seconds = 1.0
+SETTLE_IN_S: Seconds = 1.0
+NEW_WORK_S: Seconds = 0.1
 CLOSED_S: Seconds = 12.0
 BOOT_PATIENCE = 3.0
 MAX_DELETED = 5_000
@@ -90,6 +92,8 @@
         self._dear: set[MachineKind] = set()
         self._listing = False
         self._began = Instant(clock.seconds())
+        self._rent_from = self._began
+        self._rent_set = False
         self._tick = LoopingCall(self._on_tick)
         self._tick.clock = clock  # type: ignore[assignment]
 
@@ -99,6 +103,9 @@
 
     def start(self) -> None:
         self._began = self.now
+        # What an earlier leader rented and did not store yet reports within this time;
+        # where no machine is on record none is likely, and every second counts.
+        self._rent_from = Instant(self.now + (SETTLE_IN_S if self._leader.roster.machines else 0.0))
         self._tick.start(TICK_S)
 
     def stop(self) -> None:
@@ -109,8 +116,11 @@
         return machine in self._deleted
 
     def silent(self, machine: Machine) -> bool:
-        """No report for longer than a report's period, its jitter and some delay."""
-        return machine.heard_at is None or self.now - machine.heard_at > 1.25 * self._facts.workers.report_s + 1.0
+        return machine.heard_at is None or machine.heard_at < self.heard_since()
+
+    def heard_since(self) -> Instant:
+        """Earlier than this is silence: a report's period, its jitter and some delay."""
+        return Instant(self.now - 1.25 * self._facts.workers.report_s - 1.0)
 
     def condemn(self, machine: Machine, why: str) -> None:
         """Take it out of use for good; deleting it proves what was there gone."""
@@ -308,18 +318,33 @@
         )
         press(self._needs, slacks, cpus)
 
+    def new_work(self) -> None:
+        """A job came: what it needs is rented now, not at the next tick."""
+        if not self._rent_set and self._tick.running:
+            self._rent_set = True
+            self._clock.callLater(NEW_WORK_S, self._rent_for_new)
+
+    def _rent_for_new(self) -> None:
+        self._rent_set = False
+        if self._tick.running:
+            self._see_needs()
+            self._rent()
+
     def _rent(self) -> None:
         types = {t.name: t for t in self._types()}
         now = self.now
-        if not types or not self._needs or now - self._began < 1.0:
+        if not types or not self._needs or now < self._rent_from:
             return
         closed = {kind for kind, until in self._closed.items() if until > now}
-        for rental in plan(self._needs, self._coming(types), types, closed, self._dear):
-            self._counter += 1
-            # Token and counter: no node ever uses the name of a request again.
-            request = f"r-{self._leader.token}-{self._counter}"
-            self._renting[request] = rental
-            Deferred.fromCoroutine(self._rent_one(request, rental))
+        for kind, machines in plan(self._needs, self._coming(types), types, closed, self._dear):
+            # As many requests at once as it takes: the cloud's rate spaces them.
+            for first in range(0, machines, m.MAX_RENT):
+                self._counter += 1
+                # Token and counter: no node ever uses the name of a request again.
+                request = f"r-{self._leader.token}-{self._counter}"
+                rental = Rental(kind, min(m.MAX_RENT, machines - first))
+                self._renting[request] = rental
+                Deferred.fromCoroutine(self._rent_one(request, rental))
 
     def _coming(self, types: dict[str, m.MachineType]) -> list[Coming]:
         """Room that will be there soon without renting more."""
@@ -361,10 +386,13 @@
                         freed.memory_gb += job.spec.memory_gb
         return coming
 
+    def _open(self, kind: MachineKind) -> bool:
+        return self._tick.running and self._closed.get(kind, 0.0) <= self.now
+
     async def _rent_one(self, request: str, rental: Rental) -> None:
         kind = rental.kind
         try:
-            names = await self._cloud.rent(request, kind, min(rental.machines, m.MAX_RENT))
+            names = await self._cloud.rent(request, kind, rental.machines, lambda: self._open(kind))
         except NoCapacity:
             log.info("rental %s: no capacity for %s", request, kind)
             self._closed[kind] = self.now + CLOSED_S
@@ -377,7 +405,7 @@
         finally:
             del self._renting[request]
         log.info("rental %s: %d of %d %s", request, len(names), rental.machines, kind)
-        if len(names) < min(rental.machines, m.MAX_RENT):
+        if len(names) < rental.machines:
             self._closed[kind] = self.now + CLOSED_S
         if not self._tick.running:
             return
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -62,6 +62,7 @@
 log = logger("leadership")
 
 PASS_DELAY_S: Seconds = 0.02
+PASS_PAUSE = 3.0
 TICK_S: Seconds = 0.5
 WATCH_S: Seconds = 20.0
 NO_LIMIT = 1e15
@@ -106,6 +107,7 @@
         self.loaded = False
         self._stopped = False
         self._pass_set = False
+        self._pass_took: Seconds = 0.0
         self._moved_at = self.now
         self._prompt = {o.job_class for o in settings.facts.objectives if o.kind == "wait"}
         self._holds: dict[MachineId, Hold] = {}
@@ -251,6 +253,8 @@
         if self.loaded:
             if job.cancelled is not None:
                 self._clear(job)
+            else:
+                self.fleet.new_work()
             self.kick()
 
     # Reports and outcomes
@@ -543,7 +547,8 @@
     def kick(self) -> None:
         if not self._pass_set and not self._stopped and self.loaded:
             self._pass_set = True
-            self._clock.callLater(PASS_DELAY_S, self._pass)
+            # A pause in proportion: reports and users are served between long passes.
+            self._clock.callLater(max(PASS_DELAY_S, PASS_PAUSE * self._pass_took), self._pass)
 
     def _on_tick(self) -> None:
         try:
@@ -615,18 +620,23 @@
                 self.stop_task(moving, self.book.jobs[moving.task.job].spec.save_s)
 
     def offerable(self, machine: Machine) -> bool:
+        return self._offerable(machine, self.fleet.heard_since())
+
+    def _offerable(self, machine: Machine, heard_since: Instant) -> bool:
         return (
             machine.confirmed
             and machine.stored
-            and machine.type is not None
             and machine.condemned is None
             and not machine.draining
+            and machine.type is not None
             and machine.taken_at is None
-            and not self.fleet.silent(machine)
+            and machine.heard_at is not None
+            and machine.heard_at >= heard_since
             and not self.health.suspect(machine.id)
         )
 
     def offers(self) -> list[Offer]:
+        heard_since = self.fleet.heard_since()
         return [
             Offer(
                 machine.id,
@@ -637,7 +647,7 @@
                 machine.images,
             )
             for machine in self.roster.machines.values()
-            if machine.type is not None and self.offerable(machine)
+            if machine.type is not None and self._offerable(machine, heard_since)
         ]
 
     def rooms(self) -> dict[str, Room]:
@@ -695,6 +705,7 @@
             return
         if self._store.failing_since is not None and self.now - self._store.failing_since > 1.0:
             return
+        began = self.now
         wants = self.wants()
         if wants:
             offers, rooms = self.offers(), self.rooms()
@@ -702,6 +713,7 @@
             self._take_places(choices)
             self._preempt(wants, choices, offers, rooms)
         self._flush_dirty()
+        self._pass_took = self.now - began
 
     def _take_places(self, choices: list[Choice]) -> None:
         now = self.now
@@ -789,8 +801,9 @@
         now = self.now
         victims = []
         over = {t.name: self.book.use_of(t.name).cpus - t.cpus for t in self._teams.values()}
+        heard_since = self.fleet.heard_since()
         for machine in self.roster.machines.values():
-            if not self.offerable(machine):
+            if not self._offerable(machine, heard_since):
                 continue
             for placement in machine.placements.values():
                 job = self.book.jobs.get(placement.task.job)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -139,6 +139,7 @@
         self.on_rent: Callable[[dict[str, Any]], None] = lambda machine: None
         self.on_delete: Callable[[str], None] = lambda name: None
         self.full = False
+        self.at_once = 3
         self.trouble = False
         self.deleted: list[str] = []
 
@@ -161,7 +162,7 @@
         if self.full:
             return 503, {"error": "no capacity"}
         names = []
-        for _ in range(min(request["howMany"], 3)):
+        for _ in range(min(request["howMany"], self.at_once)):
             name = f"i-{len(self.machines) + len(self.deleted):06d}"
             machine = {k: request[k] for k in ("build", "field", "stubble")}
             machine.update(id=name, standing="running", ageS=1.0, addr=f"{name}:9000")
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -286,3 +286,31 @@
     world.pass_time(6.0)
     attempts = {task["round"] for w in world.workers.values() for task in w.tasks.values()}
     assert len(world.running()) == 3 and attempts == {2}
+
+
+def test_a_burst_is_rented_at_once_in_as_many_requests_as_it_takes(world):
+    """One request of at most 50 machines a second made the last of 300 machines 6 s late."""
+    world.lead()
+    world.cloud.at_once = 50
+    world.submit(heads=600, cpus=4.0, memoryGb=16.0, builds=["small"])
+    world.pass_time(0.5)
+    assert len(world.cloud.machines) == 600
+    assert len(world.cloud.requests) == 12
+
+
+def test_a_refused_kind_is_not_asked_for_again_by_the_requests_behind(world):
+    world.lead()
+    world.cloud.full = True
+    asked = []
+    original = world.cloud.handle
+
+    def handle(method, path, query, body):
+        if path == "/rentals" and method == "POST":
+            asked.append(json.loads(body))
+        return original(method, path, query, body)
+
+    world.net.hosts["cloud:1"] = handle
+    # More requests than the cloud's burst: those that had to wait are dropped.
+    world.submit(heads=5000, cpus=4.0, memoryGb=16.0, builds=["small"], field="east")
+    world.pass_time(0.9)
+    assert 0 < len(asked) <= 55
