--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -45,6 +45,15 @@
 """A start counts for the aims if no command stops it within this time."""
 
 
+class View(Protocol):
+    """What the fleet sees of the work at hand."""
+
+    def wants(self) -> list[Want]: ...
+    def rooms(self) -> dict[str, Room]: ...
+    def offerable(self, machine: Machine) -> bool: ...
+    def silent(self, machine: Machine) -> bool: ...
+
+
 class Leader(Protocol):
     """What the fleet needs of the term that owns it."""
 
@@ -53,12 +62,11 @@
     roster: Roster
     sender: Sender
 
+    @property
+    def view(self) -> View: ...
     def add_machine(self, machine: MachineId, kind: MachineKind) -> Machine: ...
     def store_machine(self, machine: Machine) -> None: ...
     def machine_gone(self, name: MachineId) -> None: ...
-    def wants(self) -> list[Want]: ...
-    def rooms(self) -> dict[str, Room]: ...
-    def offerable(self, machine: Machine) -> bool: ...
     def stop_task(self, placement: Placement, grace: Seconds) -> None: ...
 
 
@@ -115,13 +123,6 @@
     def is_deleted(self, machine: MachineId) -> bool:
         return machine in self._deleted
 
-    def silent(self, machine: Machine) -> bool:
-        return machine.heard_at is None or machine.heard_at < self.heard_since()
-
-    def heard_since(self) -> Instant:
-        """Earlier than this is silence: a report's period, its jitter and some delay."""
-        return Instant(self.now - 1.25 * self._facts.workers.report_s - 1.0)
-
     def condemn(self, machine: Machine, why: str) -> None:
         """Take it out of use for good; deleting it proves what was there gone."""
         if machine.condemned is None:
@@ -182,7 +183,7 @@
                 continue
             # A list may be older than the one before, so one absence means nothing.
             count = self._missing[machine.id] = self._missing.get(machine.id, 0) + 1
-            if count >= 3 and self.silent(machine):
+            if count >= 3 and self._leader.view.silent(machine):
                 self.condemn(machine, "it left the machine list")
 
     def _look_after(self) -> None:
@@ -199,7 +200,7 @@
                 silence = now - (machine.heard_at or now)
                 if silence > patience:
                     self.condemn(machine, f"silent for {silence:.1f} s")
-                elif self.silent(machine):
+                elif self._leader.view.silent(machine):
                     self._leader.sender.greet(machine.id)
             elif machine.placements or machine.addr is not None:
                 # It was up under an earlier leader: its worker may still look for the new one.
@@ -275,7 +276,7 @@
         held = [
             Held(x.id, x.type.cpus, x.cpus, x.type.memory_gb, x.memory_gb, price_of(x.kind, x.type))
             for x in self._leader.roster.machines.values()
-            if x.type is not None and (x.draining or self._leader.offerable(x))
+            if x.type is not None and (x.draining or self._leader.view.offerable(x))
         ]
         chosen = set(surplus(held, self._operator.spare_percent / 100))
         for machine in self._leader.roster.machines.values():
@@ -304,18 +305,18 @@
     # Rentals
 
     def _see_needs(self) -> None:
-        rooms = self._leader.rooms()
+        cpus = sum(
+            x.type.cpus for x in self._leader.roster.machines.values() if x.type is not None and x.condemned is None
+        )
+        rooms = self._leader.view.rooms()
         self._needs = []
         slacks = []
-        for want in sorted(self._leader.wants(), key=order):
+        for want in sorted(self._leader.view.wants(), key=order):
             count = min(want.count, rooms[want.spec.team].tasks(want.spec))
             rooms[want.spec.team].take(want.spec, count)
             if count:
                 self._needs.append(Need(want.spec, count, self._leader.book.expected_run(want.spec)))
                 slacks.append(want.slack)
-        cpus = sum(
-            x.type.cpus for x in self._leader.roster.machines.values() if x.type is not None and x.condemned is None
-        )
         press(self._needs, slacks, cpus)
 
     def new_work(self) -> None:
@@ -363,7 +364,7 @@
         for machine in self._leader.roster.machines.values():
             if machine.condemned is not None or machine.type is None:
                 continue
-            if not machine.up or self._leader.offerable(machine):
+            if not machine.up or self._leader.view.offerable(machine):
                 coming.append(
                     Coming(
                         machine.kind,
--- /dev/null
+++ b/meadowcross/leadership/view.py
@@ -0,0 +1,178 @@
+"""What placement sees: offers, wants, rooms, victims and replicas, as snapshots taken
+from the book, the roster and the machines' health."""
+
+from __future__ import annotations
+
+from meadowcross.common.clock import Clock
+from meadowcross.common.settings import Facts
+from meadowcross.common.types import EPSILON, Instant, MachineId, Seconds
+from meadowcross.jobs import messages as jm
+from meadowcross.jobs.book import Book, Job, Phase
+from meadowcross.placement.engine import Offer, Room, Want, constrained
+from meadowcross.placement.moves import Replica
+from meadowcross.placement.preemption import Victim, mark_borrowed
+from meadowcross.workers.health import Health
+from meadowcross.workers.roster import Machine, Roster
+
+NO_LIMIT = 1e15
+NO_DUE: Seconds = 1e9
+ALMOST_DONE_S: Seconds = 3.0
+
+
+class View:
+    def __init__(self, clock: Clock, facts: Facts, book: Book, roster: Roster, health: Health) -> None:
+        self._clock = clock
+        self._facts = facts
+        self._book = book
+        self._roster = roster
+        self._health = health
+        self._teams = {team.name: team for team in facts.teams}
+        self.prompt = {o.job_class for o in facts.objectives if o.kind == "wait"}
+        """Classes with an aim on how soon their tasks start."""
+        self._within = {
+            o.job_class: o.within_s
+            for o in facts.objectives
+            if o.kind == "finished" and o.within_s is not None
+        }
+
+    @property
+    def _now(self) -> Instant:
+        return Instant(self._clock.seconds())
+
+    def heard_since(self) -> Instant:
+        """Earlier than this is silence: a report's period, its jitter and some delay."""
+        return Instant(self._now - 1.25 * self._facts.workers.report_s - 1.0)
+
+    def silent(self, machine: Machine) -> bool:
+        return machine.heard_at is None or machine.heard_at < self.heard_since()
+
+    def offerable(self, machine: Machine) -> bool:
+        return self._offerable(machine, self.heard_since())
+
+    def _offerable(self, machine: Machine, heard_since: Instant) -> bool:
+        return (
+            machine.confirmed
+            and machine.stored
+            and machine.condemned is None
+            and not machine.draining
+            and machine.type is not None
+            and machine.taken_at is None
+            and machine.heard_at is not None
+            and machine.heard_at >= heard_since
+            and not self._health.suspect(machine.id)
+        )
+
+    def offers(self) -> list[Offer]:
+        heard_since = self.heard_since()
+        return [
+            Offer(
+                machine.id,
+                machine.kind,
+                machine.type.cpus - machine.cpus,
+                machine.type.gpus - machine.gpus,
+                machine.type.memory_gb - machine.memory_gb,
+                machine.images,
+            )
+            for machine in self._roster.machines.values()
+            if machine.type is not None and self._offerable(machine, heard_since)
+        ]
+
+    def rooms(self) -> dict[str, Room]:
+        rooms = {}
+        for team in self._teams.values():
+            use = self._book.use_of(team.name)
+            rooms[team.name] = Room(
+                team.cpus_max - use.cpus if team.cpus_max > 0 else NO_LIMIT,
+                team.gpus_max - use.gpus if team.gpus_max > 0 else NO_LIMIT,
+            )
+        return rooms
+
+    def wants(self) -> list[Want]:
+        now = self._now
+        wants = []
+        for job in self._book.jobs.values():
+            if job.cancelled is not None or job.ending or not job.waiting_count or job.paused_until > now:
+                continue
+            if job.spec.team not in self._teams or not self._gang_ready(job):
+                continue
+            wants.append(self._want(job))
+        return wants
+
+    def _want(self, job: Job) -> Want:
+        spec = job.spec
+        run = self._book.expected_run(spec)
+        deadline = spec.deadline_s if spec.deadline_s is not None else self._within.get(spec.job_class)
+        slack = NO_DUE if deadline is None else job.submitted + deadline - self._now - run
+        team = self._teams[spec.team]
+        within = max(0, int((team.cpus - self._book.use_of(spec.team).cpus + EPSILON) / spec.cpus))
+        borrowing = within == 0
+        want = Want(job.id, spec, job.waiting_count, job.rank, slack, job.retrying, borrowing, within)
+        want.run_s = run
+        if constrained(spec):
+            for placement in job.placed.values():
+                machine = self._roster.machines.get(placement.machine)
+                zone = machine.kind.zone if machine else ""
+                known, count = want.siblings.get(placement.machine, (zone, 0))
+                want.siblings[placement.machine] = (known, count + 1)
+        return want
+
+    def _gang_ready(self, job: Job) -> bool:
+        """A gang starts anew once all of its old attempt is gone; before it has started,
+        a missing member is replaced with the same attempt."""
+        if not job.is_gang or not job.placed:
+            return True
+        return all(
+            p.phase in (Phase.STORING, Phase.STORED, Phase.SENT, Phase.FETCHING, Phase.WAITING) and p.stop_at is None
+            for p in job.placed.values()
+        )
+
+    def replicas(self) -> list[Replica]:
+        """Running service replicas that the move pass may consider."""
+        now = self._now
+        return [
+            Replica(placement, self._want(job), placement.machine, now - placement.running_at)
+            for job in self._book.jobs.values()
+            # A service with a replica that waits for its new place is moving already.
+            if job.spec.kind is jm.Kind.SERVICE and job.cancelled is None and not job.waiting_count
+            for placement in job.placed.values()
+            if placement.phase is Phase.RUNNING and placement.running_at is not None and placement.stop_at is None
+        ]
+
+    def usage(self) -> dict[MachineId, float]:
+        return {m.id: m.cpus / m.type.cpus for m in self._roster.machines.values() if m.type is not None}
+
+    def victims(self) -> list[Victim]:
+        """Tasks that may be stopped at once: not a gang's, whose whole attempt would be lost."""
+        now = self._now
+        victims = []
+        over = {t.name: self._book.use_of(t.name).cpus - t.cpus for t in self._teams.values()}
+        heard_since = self.heard_since()
+        for machine in self._roster.machines.values():
+            if not self._offerable(machine, heard_since):
+                continue
+            for placement in machine.placements.values():
+                job = self._book.jobs.get(placement.task.job)
+                if job is None or job.is_gang or placement.stop_at is not None:
+                    continue
+                if placement.phase not in (Phase.RUNNING, Phase.FETCHING):
+                    continue
+                ran = now - placement.running_at if placement.running_at is not None else 0.0
+                if ran > ALMOST_DONE_S and self._book.expected_run(job.spec) - ran < ALMOST_DONE_S:
+                    continue
+                saved = job.spec.checkpoint_s
+                lost = ran % saved if saved > 0 else ran
+                spec = job.spec
+                victims.append(
+                    Victim(
+                        placement,
+                        machine.id,
+                        job.rank,
+                        spec.cpus,
+                        spec.gpus,
+                        spec.memory_gb,
+                        lost * spec.cpus,
+                        spec.team,
+                    )
+                )
+        mark_borrowed(victims, over)
+        return victims
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -10,7 +10,7 @@
 import heapq
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from meadowcross.common.settings import Operator
@@ -55,6 +55,8 @@
     borrowing: bool = False
     guaranteed: int = 0
     """How many of its tasks are still within its team's guarantee."""
+    run_s: Seconds = 0.0
+    """How long one of its tasks is expected to run."""
     siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
     """Per machine: its zone and how many of the job's tasks count there."""
 
@@ -180,7 +182,7 @@
             if len(machines) < count:
                 full.add(shape)
         else:
-            machines = _constrained(want, fitting, count, weights)
+            machines = fill_constrained(want, fitting, count, weights)
         if machines:
             room.take(spec, len(machines))
             choices.append(Choice(want.job, machines))
@@ -207,7 +209,7 @@
     return machines
 
 
-def _constrained(want: Want, fitting: list[Offer], count: int, weights: Operator) -> list[MachineId]:
+def fill_constrained(want: Want, fitting: list[Offer], count: int, weights: Operator) -> list[MachineId]:
     """One zone, spread and gangs; a gang's tasks are all placed or none are."""
     spec = want.spec
     zones = {zone for zone, _ in want.siblings.values()}
@@ -266,122 +268,6 @@
     return total, machines
 
 
-@dataclass(slots=True)
-class Victim:
-    """A running task that may be stopped for work of higher priority."""
-
-    key: object
-    machine: MachineId
-    rank: int
-    cpus: float
-    gpus: float
-    memory_gb: float
-    loss: float
-    """CPU seconds of progress that stopping it now throws away."""
-    team: str = ""
-    borrowed: bool = False
-    """Its team uses more than its guarantee, this task's share of it included."""
-
-
-def yields(victim: Victim, want: Want) -> bool:
-    """Lower priority gives way; so does work of the same priority that another team runs
-    beyond its guarantee, to work within one. Higher priority never gives way to a
-    guarantee: the users want the stated priority kept without exception, and the two
-    would take turns stopping each other."""
-    if victim.rank != want.rank:
-        return victim.rank > want.rank
-    return victim.borrowed and want.guaranteed > 0 and victim.team != want.spec.team
-
-
-def _yielding(want: Want, victims: Iterable[Victim]) -> dict[MachineId, list[Victim]]:
-    by_machine: dict[MachineId, list[Victim]] = {}
-    for victim in victims:
-        if yields(victim, want):
-            by_machine.setdefault(victim.machine, []).append(victim)
-    return by_machine
-
-
-def preempt(want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim]) -> list[Victim]:
-    """The victims that make room for `count` tasks of the want at the least loss, machines
-    that hold its image first."""
-    spec = want.spec
-    by_machine = _yielding(want, victims)
-    options: list[tuple[bool, float, MachineId, list[Victim]]] = []
-    for offer in offers:
-        candidates = by_machine.get(offer.machine)
-        if candidates is None or not allowed(spec, offer.kind):
-            continue
-        candidates.sort(key=lambda v: v.loss / v.cpus)
-        free = [offer.free_cpus, offer.free_gpus, offer.free_memory]
-        chosen: list[Victim] = []
-        made = 0
-        for victim in candidates:
-            chosen.append(victim)
-            free[0] += victim.cpus
-            free[1] += victim.gpus
-            free[2] += victim.memory_gb
-            if (
-                free[0] + EPSILON >= spec.cpus
-                and free[1] + EPSILON >= spec.gpus
-                and free[2] + EPSILON >= spec.memory_gb
-            ):
-                loss = sum(v.loss for v in chosen)
-                options.append((spec.image not in offer.images, loss, offer.machine, chosen))
-                free = [free[0] - spec.cpus, free[1] - spec.gpus, free[2] - spec.memory_gb]
-                chosen = []
-                made += 1
-                if made >= count:
-                    break
-    options.sort(key=lambda option: option[:3])
-    chosen_victims: list[Victim] = []
-    promised = want.guaranteed
-    for *_, chosen in options:
-        if count == 0:
-            break
-        if any(v.rank == want.rank for v in chosen):
-            if promised == 0:
-                continue
-            promised -= 1
-        count -= 1
-        chosen_victims.extend(chosen)
-    return chosen_victims
-
-
-def preempt_constrained(
-    want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim], weights: Operator
-) -> tuple[list[Victim], set[MachineId]]:
-    """The victims that make room where the job's zones allow it, for a gang all of it or
-    none, and the machines, where to hold the room until all of it is free."""
-    spec = want.spec
-    by_machine = _yielding(want, victims)
-    cleared = []
-    for offer in offers:
-        if not allowed(spec, offer.kind):
-            continue
-        room = by_machine.get(offer.machine, [])
-        cleared.append(
-            replace(
-                offer,
-                free_cpus=offer.free_cpus + sum(v.cpus for v in room),
-                free_gpus=offer.free_gpus + sum(v.gpus for v in room),
-                free_memory=offer.free_memory + sum(v.memory_gb for v in room),
-            )
-        )
-    machines = Counter(_constrained(want, cleared, count, weights))
-    free = {o.machine: o for o in offers}
-    chosen: list[Victim] = []
-    for name, tasks in machines.items():
-        rest = replace(free[name])
-        for victim in sorted(by_machine.get(name, []), key=lambda v: v.loss / v.cpus):
-            if slots(spec, rest.free_cpus, rest.free_gpus, rest.free_memory) >= tasks:
-                break
-            rest.free_cpus += victim.cpus
-            rest.free_gpus += victim.gpus
-            rest.free_memory += victim.memory_gb
-            chosen.append(victim)
-    return chosen, set(machines)
-
-
 def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
     """How many tasks of the job a room holds."""
     most = cpus / spec.cpus
@@ -390,46 +276,3 @@
     if spec.memory_gb > 0:
         most = min(most, memory_gb / spec.memory_gb)
     return int(most + EPSILON)
-
-
-@dataclass(slots=True)
-class Replica:
-    """A running service replica, for the periodic move pass."""
-
-    key: object
-    want: Want
-    """Its job; `siblings` without the replica itself."""
-    machine: MachineId
-    age_s: Seconds
-
-
-def moves(
-    offers: Iterable[Offer], replicas: Iterable[Replica], usage: dict[MachineId, float], weights: Operator
-) -> list[Replica]:
-    """DESIGN's periodic pass: at most one replica per service, off a machine that is used
-    above the threshold, when another machine leads by enough points and the replica is old
-    enough. Its own use counts as free on its own machine."""
-    offered = {o.machine: o for o in offers}
-    chosen: dict[JobId, Replica] = {}
-    for replica in replicas:
-        own = offered.get(replica.machine)
-        want = replica.want
-        if (
-            own is None
-            or want.job in chosen
-            or replica.age_s <= weights.move_age_s
-            or usage.get(replica.machine, 0.0) * 100 <= weights.move_usage_percent
-        ):
-            continue
-        own.take(want.spec, -1)
-        here = score(want.spec, own, want.siblings, weights)
-        own.take(want.spec)
-        for other in offered.values():
-            if other is own or not allowed(want.spec, other.kind) or not other.fits(want.spec):
-                continue
-            if want.spec.one_zone and other.kind.zone != own.kind.zone:
-                continue
-            if score(want.spec, other, want.siblings, weights) >= here + weights.move_lead_points:
-                chosen[want.job] = replica
-                break
-    return list(chosen.values())
--- /dev/null
+++ b/meadowcross/placement/preemption.py
@@ -0,0 +1,258 @@
+"""Preemption: what gives way to what, at the least loss, and who was asked already.
+
+The choices are pure functions over a snapshot; `GivingWay` keeps what a leader must
+remember from one pass to the next.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import NamedTuple
+
+from meadowcross.common.settings import Operator
+from meadowcross.common.types import EPSILON, Instant, JobId, MachineId, Seconds
+from meadowcross.jobs.messages import RANK
+from meadowcross.placement.engine import (
+    Hold,
+    Offer,
+    Room,
+    Want,
+    allowed,
+    constrained,
+    fill_constrained,
+    order,
+    slots,
+    talks,
+)
+
+GIVE_WAY_S: Seconds = 4.0
+HURRY_RUNS = 0.5
+HURRY_S: Seconds = 5.0
+LOWEST_RANK = max(RANK.values())
+
+
+@dataclass(slots=True)
+class Victim:
+    """A running task that may be stopped for work of higher priority."""
+
+    key: object
+    machine: MachineId
+    rank: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    loss: float
+    """CPU seconds of progress that stopping it now throws away."""
+    team: str = ""
+    borrowed: bool = False
+    """Its team uses more than its guarantee, this task's share of it included."""
+
+
+def yields(victim: Victim, want: Want) -> bool:
+    """Lower priority gives way; so does work of the same priority that another team runs
+    beyond its guarantee, to work within one. Higher priority never gives way to a
+    guarantee: the users want the stated priority kept without exception, and the two
+    would take turns stopping each other."""
+    if victim.rank != want.rank:
+        return victim.rank > want.rank
+    return victim.borrowed and want.guaranteed > 0 and victim.team != want.spec.team
+
+
+def _yielding(want: Want, victims: Iterable[Victim]) -> dict[MachineId, list[Victim]]:
+    by_machine: dict[MachineId, list[Victim]] = {}
+    for victim in victims:
+        if yields(victim, want):
+            by_machine.setdefault(victim.machine, []).append(victim)
+    return by_machine
+
+
+def preempt(want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim]) -> list[Victim]:
+    """The victims that make room for `count` tasks of the want at the least loss, machines
+    that hold its image first."""
+    spec = want.spec
+    by_machine = _yielding(want, victims)
+    options: list[tuple[bool, float, MachineId, list[Victim]]] = []
+    for offer in offers:
+        candidates = by_machine.get(offer.machine)
+        if candidates is None or not allowed(spec, offer.kind):
+            continue
+        candidates.sort(key=lambda v: v.loss / v.cpus)
+        free = [offer.free_cpus, offer.free_gpus, offer.free_memory]
+        chosen: list[Victim] = []
+        made = 0
+        for victim in candidates:
+            chosen.append(victim)
+            free[0] += victim.cpus
+            free[1] += victim.gpus
+            free[2] += victim.memory_gb
+            if (
+                free[0] + EPSILON >= spec.cpus
+                and free[1] + EPSILON >= spec.gpus
+                and free[2] + EPSILON >= spec.memory_gb
+            ):
+                loss = sum(v.loss for v in chosen)
+                options.append((spec.image not in offer.images, loss, offer.machine, chosen))
+                free = [free[0] - spec.cpus, free[1] - spec.gpus, free[2] - spec.memory_gb]
+                chosen = []
+                made += 1
+                if made >= count:
+                    break
+    options.sort(key=lambda option: option[:3])
+    chosen_victims: list[Victim] = []
+    promised = want.guaranteed
+    for *_, chosen in options:
+        if count == 0:
+            break
+        if any(v.rank == want.rank for v in chosen):
+            if promised == 0:
+                continue
+            promised -= 1
+        count -= 1
+        chosen_victims.extend(chosen)
+    return chosen_victims
+
+
+def preempt_constrained(
+    want: Want, count: int, offers: Iterable[Offer], victims: Iterable[Victim], weights: Operator
+) -> tuple[list[Victim], set[MachineId]]:
+    """The victims that make room where the job's zones allow it, for a gang all of it or
+    none, and the machines, where to hold the room until all of it is free."""
+    spec = want.spec
+    by_machine = _yielding(want, victims)
+    cleared = []
+    for offer in offers:
+        if not allowed(spec, offer.kind):
+            continue
+        room = by_machine.get(offer.machine, [])
+        cleared.append(
+            replace(
+                offer,
+                free_cpus=offer.free_cpus + sum(v.cpus for v in room),
+                free_gpus=offer.free_gpus + sum(v.gpus for v in room),
+                free_memory=offer.free_memory + sum(v.memory_gb for v in room),
+            )
+        )
+    machines = Counter(fill_constrained(want, cleared, count, weights))
+    free = {o.machine: o for o in offers}
+    chosen: list[Victim] = []
+    for name, tasks in machines.items():
+        rest = replace(free[name])
+        for victim in sorted(by_machine.get(name, []), key=lambda v: v.loss / v.cpus):
+            if slots(spec, rest.free_cpus, rest.free_gpus, rest.free_memory) >= tasks:
+                break
+            rest.free_cpus += victim.cpus
+            rest.free_gpus += victim.gpus
+            rest.free_memory += victim.memory_gb
+            chosen.append(victim)
+    return chosen, set(machines)
+
+
+def mark_borrowed(victims: Iterable[Victim], over: dict[str, float]) -> None:
+    """`over` is each team's use beyond its guarantee, in CPUs. Of what a team borrows, its
+    least important and least costly tasks are to go."""
+    for victim in sorted(victims, key=lambda v: (-v.rank, v.loss)):
+        if over.get(victim.team, 0.0) >= victim.cpus:
+            victim.borrowed = True
+            over[victim.team] -= victim.cpus
+
+
+def in_hurry(want: Want, victims: Iterable[Victim], prompt: set[str | None]) -> bool:
+    """Whether waiting for room harms: the class is to start promptly, or the slack is
+    within the estimates' error, or smaller tasks of lower priority would take each
+    piece of room that comes free before it is large enough."""
+    spec = want.spec
+    return (
+        spec.job_class in prompt
+        or want.slack < HURRY_RUNS * want.run_s + HURRY_S
+        or talks(spec)
+        or any(v.rank > want.rank and v.cpus < spec.cpus for v in victims)
+        or (
+            want.guaranteed > 0
+            and spec.deadline_s is None
+            and any(v.borrowed and v.rank == want.rank and v.team != spec.team for v in victims)
+        )
+    )
+
+
+class Asked(NamedTuple):
+    """What gave way for a job, when, and how many of its tasks waited."""
+
+    at: Instant
+    waiting: int
+    keys: list[object]
+
+
+class GivingWay:
+    """Stops lower priority for what found no room. Victims under way count as room."""
+
+    def __init__(self, prompt: set[str | None], weights: Operator) -> None:
+        self._prompt = prompt
+        self._weights = weights
+        self._asked: dict[JobId, Asked] = {}
+        self._under_way: set[JobId] = set()
+        self.holds: dict[MachineId, Hold] = {}
+
+    def forget(self, job: JobId) -> None:
+        self._asked.pop(job, None)
+        self._under_way.discard(job)
+
+    def _look_after(self, now: Instant, placed: Callable[[object], bool]) -> None:
+        for job in list(self._under_way):
+            asked = self._asked[job]
+            if now - asked.at >= GIVE_WAY_S or not any(placed(key) for key in asked.keys):
+                self._under_way.discard(job)
+        self.holds = {name: hold for name, hold in self.holds.items() if hold.job in self._under_way}
+
+    def choose(
+        self,
+        wants: Iterable[Want],
+        found: Mapping[JobId, int],
+        offers: list[Offer],
+        rooms: dict[str, Room],
+        victims_now: Callable[[], list[Victim]],
+        placed: Callable[[object], bool],
+        now: Instant,
+    ) -> list[tuple[JobId, list[Victim]]]:
+        """The victims for each job that is short of room; `found` is what it got, `placed`
+        tells whether a victim's key is still on its machine."""
+        self._look_after(now, placed)
+        chosen_for: list[tuple[JobId, list[Victim]]] = []
+        victims: list[Victim] | None = None
+        for want in sorted(wants, key=order):
+            short = min(want.count - found.get(want.job, 0), rooms[want.spec.team].tasks(want.spec))
+            if short <= 0 or want.job in self._under_way:
+                continue
+            if want.rank >= LOWEST_RANK and want.guaranteed == 0:
+                continue
+            asked = self._asked.get(want.job)
+            if asked is not None and want.count >= asked.waiting and now - asked.at < GIVE_WAY_S:
+                # What gave way last time did not help this job, so nothing more does yet.
+                continue
+            if victims is None:
+                victims = victims_now()
+            if not in_hurry(want, victims, self._prompt):
+                # What waits without harm lets the others keep what they have done.
+                continue
+            chosen = self._victims_for(want, short, offers, victims)
+            if chosen:
+                taken = {id(victim) for victim in chosen}
+                victims = [v for v in victims if id(v) not in taken]
+                self._under_way.add(want.job)
+                self._asked[want.job] = Asked(now, want.count, [v.key for v in chosen])
+                chosen_for.append((want.job, chosen))
+        return chosen_for
+
+    def _victims_for(self, want: Want, short: int, offers: list[Offer], victims: list[Victim]) -> list[Victim]:
+        if not constrained(want.spec):
+            chosen = preempt(want, short, offers, victims)
+            if any(v.rank == want.rank for v in chosen):
+                self.holds.update((v.machine, Hold(want.job, want.rank)) for v in chosen)
+            return chosen
+        if talks(want.spec) and short < want.count:
+            return []
+        chosen, machines = preempt_constrained(want, short, offers, victims, self._weights)
+        if chosen:
+            self.holds.update((name, Hold(want.job, want.rank)) for name in machines)
+        return chosen
--- /dev/null
+++ b/meadowcross/workers/departures.py
@@ -0,0 +1,46 @@
+"""Tasks that must leave a machine: before it is taken back, or after a cancel.
+
+Pure functions over the book and a machine's record."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from meadowcross.common.types import Instant, Seconds
+from meadowcross.jobs.book import Book, Job, Phase, Placement
+from meadowcross.workers.roster import Machine
+
+LATE_FACTOR = 1.5
+
+
+def leaving(machine: Machine, book: Book, now: Instant) -> list[tuple[Placement, Seconds]]:
+    """What to stop on a machine with a notice, and the time each may take to save: what can
+    save does, a gang all together, or its save would fail; what can't end in time starts
+    again elsewhere; what may end in time goes on."""
+    if machine.taken_at is None:
+        return []
+    left = machine.taken_at - now
+    stops: dict[int, tuple[Placement, Seconds]] = {}
+    for placement in machine.placements.values():
+        job = book.jobs.get(placement.task.job)
+        if job is None or placement.stop_at is not None or placement.phase is not Phase.RUNNING:
+            continue
+        ran = now - (placement.running_at if placement.running_at is not None else now)
+        if job.spec.checkpoint_s > 0:
+            if left > job.spec.save_s:
+                for other in job.placed.values() if job.is_gang else [placement]:
+                    if other.started and other.stop_at is None:
+                        stops[id(other)] = (other, max(left, job.spec.save_s))
+        elif not job.is_gang and book.expected_run(job.spec) - ran > LATE_FACTOR * max(left, 0.0):
+            stops[id(placement)] = (placement, 0.0)
+    return list(stops.values())
+
+
+def late_cancels(jobs: Iterable[Job], now: Instant, patience: Seconds) -> list[tuple[Job, Seconds]]:
+    """Cancelled jobs that stops don't clear, and how long ago they were cancelled: their
+    tasks go with their machines, in time."""
+    return [
+        (job, now - job.cancelled)
+        for job in jobs
+        if job.cancelled is not None and job.placed and now - job.cancelled >= patience
+    ]
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,67 @@
+"""What must leave a machine before it is taken back, and cancels that stops don't clear."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from meadowcross.common.types import Instant, MachineId, MachineKind, Mark, WallTime
+from meadowcross.jobs.book import Book, Phase
+from meadowcross.jobs.messages import JobRecord, JobSpec
+from meadowcross.workers.departures import late_cancels, leaving
+from meadowcross.workers.roster import Machine
+from tests.conftest import job
+
+NOW = Instant(100.0)
+
+LEAVING = [
+    # name, changes of the job, phase, when it began to run, seconds left; stops: the grace of each
+    ("saves in the time left", {"stookS": 10.0, "baleS": 4.0}, Phase.RUNNING, 90.0, 12.0, [12.0]),
+    ("no time to save", {"stookS": 10.0, "baleS": 4.0}, Phase.RUNNING, 90.0, 3.0, []),
+    ("may end in time", {}, Phase.RUNNING, 90.0, 14.0, []),
+    ("can't end in time", {}, Phase.RUNNING, 90.0, 13.0, [0.0]),
+    ("still fetching", {}, Phase.FETCHING, None, 1.0, []),
+    ("saves already", {"stookS": 10.0, "baleS": 4.0}, Phase.SAVING, 90.0, 12.0, []),
+    ("a gang saves together", {"breed": "group", "heads": 3, "stookS": 10.0}, Phase.RUNNING, 90.0, 12.0, [12.0] * 3),
+    ("a gang that can't save stays", {"breed": "group", "heads": 3}, Phase.RUNNING, 90.0, 1.0, []),
+    ("no notice", {"stookS": 10.0}, Phase.RUNNING, 90.0, None, []),
+]
+
+
+def setting(changes, phase, running_at):
+    book = Book()
+    spec = msgspec.convert(job(**{"heads": 1, **changes}), JobSpec)
+    one = book.add(JobRecord(spec, WallTime(0.0)), Mark(1))
+    machine = Machine(MachineId("i-0"), MachineKind("small", "east", True), None, NOW)
+    for index in range(spec.tasks):
+        placement = book.place(one, one.take_waiting(), MachineId(f"i-{index}"), Instant(0.0))
+        placement.phase, placement.running_at = phase, running_at
+        if index == 0:
+            machine.placements[placement.task] = placement
+    return book, one, machine
+
+
+@pytest.mark.parametrize(
+    ("changes", "phase", "running_at", "left", "graces"), [c[1:] for c in LEAVING], ids=[c[0] for c in LEAVING]
+)
+def test_what_leaves_a_machine_with_a_notice(changes, phase, running_at, left, graces):
+    book, _, machine = setting(changes, phase, running_at)
+    machine.taken_at = None if left is None else Instant(NOW + left)
+    assert [grace for _, grace in leaving(machine, book, NOW)] == graces
+
+
+CANCELS = [
+    ("not cancelled", None, 1, 0),
+    ("cancelled lately", 90.0, 1, 0),
+    ("cancelled long ago", 80.0, 1, 1),
+    ("cancelled long ago, but nothing is placed", 80.0, 0, 0),
+]
+
+
+@pytest.mark.parametrize(("cancelled", "placed", "late"), [c[1:] for c in CANCELS], ids=[c[0] for c in CANCELS])
+def test_late_cancels(cancelled, placed, late):
+    book, one, _ = setting({}, Phase.RUNNING, 50.0)
+    one.cancelled = cancelled
+    if not placed:
+        one.placed.clear()
+    assert len(late_cancels(book.jobs.values(), NOW, 20.0)) == late
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -13,18 +13,15 @@
 from meadowcross.placement.engine import (
     Hold,
     Offer,
-    Replica,
     Room,
-    Victim,
     Want,
-    moves,
     network_term,
     place,
-    preempt,
-    preempt_constrained,
     resource_term,
     score,
 )
+from meadowcross.placement.moves import Replica, moves
+from meadowcross.placement.preemption import Victim, preempt, preempt_constrained
 from tests.conftest import job
 
 WEIGHTS = Operator()
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,55 @@
+"""Who is asked to give way, when, and not again before it helped."""
+
+from __future__ import annotations
+
+import pytest
+
+from meadowcross.common.settings import Operator
+from meadowcross.common.types import Instant, MachineId
+from meadowcross.placement.preemption import GivingWay, Victim, in_hurry, mark_borrowed
+from tests.test_engine import offer, rooms, want
+
+
+def victim(key="v", machine="m", rank=3, cpus=1.0, team="b", borrowed=False, loss=1.0):
+    return Victim(key, MachineId(machine), rank, cpus, 0.0, 2.0, loss, team, borrowed)
+
+
+HURRY = [
+    ("slack to spare", 100.0, {}, [victim()], False),
+    ("slack within the estimates' error", 19.0, {}, [victim()], True),
+    ("a prompt class", 100.0, {"herd": "prompt"}, [victim()], True),
+    ("smaller tasks of lower priority would take the room", 100.0, {"cpus": 2.0}, [victim()], True),
+    ("smaller tasks of higher priority", 100.0, {"cpus": 2.0}, [victim(rank=0)], False),
+    ("a gang", 100.0, {"breed": "group"}, [victim()], True),
+]
+
+
+@pytest.mark.parametrize(("slack", "changes", "victims", "hurry"), [h[1:] for h in HURRY], ids=[h[0] for h in HURRY])
+def test_hurry(slack, changes, victims, hurry):
+    waiting = want(slack=slack, **changes)
+    waiting.run_s = 30.0
+    assert in_hurry(waiting, victims, {"prompt"}) is hurry
+
+
+def test_of_what_a_team_borrows_the_least_important_and_least_costly_goes():
+    victims = [victim("dear", loss=9.0), victim("cheap", loss=1.0), victim("high", rank=1, loss=0.0)]
+    mark_borrowed(victims, {"b": 1.5})
+    assert [v.key for v in victims if v.borrowed] == ["cheap"]
+
+
+def test_nobody_is_asked_again_before_it_helped_or_some_time_has_passed():
+    giving = GivingWay({"train"}, Operator())
+    waiting, offers = want(heads=1, rank=1), [offer("m", cpus=0.0)]
+    there = {"a"}
+
+    def choose(at, key):
+        chosen = giving.choose([waiting], {}, offers, rooms(), lambda: [victim(key)], there.__contains__, Instant(at))
+        return [v.key for _, victims in chosen for v in victims]
+
+    assert choose(10.0, "a") == ["a"]
+    assert choose(11.0, "b") == [], "the first is on its way"
+    there.clear()
+    assert choose(12.0, "b") == [], "it is gone and the job still waits: more would not help either"
+    assert choose(14.5, "b") == ["b"]
+    giving.forget(waiting.job)
+    assert choose(14.6, "c") == ["c"]
