Larger tasks wait for ends on large machines before anything smaller stops

A machine that runs many small tasks makes a hole by itself within seconds, so now such machines are held for the larger task, and something stops only once its slack is short.

--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -30,6 +30,9 @@
 GIVE_WAY_S: Seconds = 4.0
 HURRY_RUNS = 0.5
 HURRY_S: Seconds = 5.0
+HOLD_TIMES = 10.0
+"""Ends of a tenth of what runs on the machines held are waited for: a few seconds."""
+HOLD_LEAST = 4.0
 LOWEST_RANK = max(RANK.values())
 
 
@@ -160,14 +163,12 @@
 
 def in_hurry(want: Want, victims: Iterable[Victim], prompt: set[str | None]) -> bool:
     """Whether waiting for room harms: the class is to start promptly, or the slack is
-    within the estimates' error, or smaller tasks of lower priority would take each
-    piece of room that comes free before it is large enough."""
+    within the estimates' error, or others borrow what its team is guaranteed."""
     spec = want.spec
     return (
         spec.job_class in prompt
         or want.slack < HURRY_RUNS * want.run_s + HURRY_S
         or talks(spec)
-        or any(v.rank > want.rank and v.cpus < spec.cpus for v in victims)
         or (
             want.guaranteed > 0
             and spec.deadline_s is None
@@ -176,6 +177,31 @@
     )
 
 
+def room_by_ends(
+    want: Want, short: int, offers: Iterable[Offer], victims: Iterable[Victim], holds: Mapping[MachineId, Hold]
+) -> list[MachineId]:
+    """Machines to hold until what ends there by itself has left room for `short` tasks.
+
+    Smaller tasks of lower priority would take each piece of room that comes free before it
+    is large enough. On a machine that runs many of them a hole forms soon and wastes
+    little, so the larger machines are held, and none that runs just a few."""
+    spec = want.spec
+    by_machine = _yielding(want, victims)
+    ending = [
+        (sum(v.cpus for v in by_machine[offer.machine]), offer.machine)
+        for offer in offers
+        if offer.machine in by_machine and allowed(spec, offer.kind) and offer.machine not in holds
+    ]
+    held: list[MachineId] = []
+    missing = HOLD_TIMES * short * spec.cpus
+    for cpus, machine in sorted(ending, key=lambda one: (-one[0], one[1])):
+        if missing <= 0 or cpus < HOLD_LEAST * spec.cpus:
+            break
+        missing -= cpus
+        held.append(machine)
+    return held
+
+
 class Asked(NamedTuple):
     """What gave way for a job, when, and how many of its tasks waited."""
 
@@ -192,6 +218,8 @@
         self._weights = weights
         self._asked: dict[JobId, Asked] = {}
         self._under_way: set[JobId] = set()
+        self._held_for: set[JobId] = set()
+        """Jobs that wait for room by ends; seen anew in every pass."""
         self.holds: dict[MachineId, Hold] = {}
 
     def forget(self, job: JobId) -> None:
@@ -203,6 +231,7 @@
             asked = self._asked[job]
             if now - asked.at >= GIVE_WAY_S or not any(placed(key) for key in asked.keys):
                 self._under_way.discard(job)
+        self._held_for.clear()
         self.holds = {name: hold for name, hold in self.holds.items() if hold.job in self._under_way}
 
     def choose(
@@ -234,7 +263,13 @@
                 victims = victims_now()
             if not in_hurry(want, victims, self._prompt):
                 # What waits without harm lets the others keep what they have done.
-                continue
+                if not any(v.rank > want.rank and v.cpus < want.spec.cpus for v in victims):
+                    continue
+                machines = room_by_ends(want, short, offers, victims, self.holds)
+                if machines:
+                    self._held_for.add(want.job)
+                    self.holds.update((name, Hold(want.job, want.rank)) for name in machines)
+                    continue
             chosen = self._victims_for(want, short, offers, victims)
             if chosen:
                 taken = {id(victim) for victim in chosen}
