Classes that should start promptly take room where their image is; large jobs as test cases

For half of the time such a task now takes only room where the image is, from lower priority if need be.

--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -52,6 +52,7 @@
 
 PASS_DELAY_S: Seconds = 0.02
 PASS_PAUSE = 3.0
+WARM_AGAIN_S: Seconds = 0.1
 TICK_S: Seconds = 0.5
 WATCH_S: Seconds = 20.0
 CANCEL_SHARE = 0.5
@@ -80,7 +81,7 @@
         self.book = Book()
         self.roster = Roster(token)
         self.health = Health()
-        self.view = View(reactor, settings.facts, self.book, self.roster, self.health)
+        self.view = View(reactor, settings.facts, types, self.book, self.roster, self.health)
         self._leader_condition = sm.Condition(LEADER_KEY, Mark(token))
         self.committer = Committer(reactor, store, self._leader_condition, self._reread)
         self.sender = Sender(
@@ -519,6 +520,9 @@
                 for victim in victims:
                     if isinstance(victim.key, Placement):
                         self.stop_task(victim.key, 0.0)
+            if any(want.warm_only for want in wants):
+                # Soon free room without their image is good enough for them.
+                self._clock.callLater(WARM_AGAIN_S, self.kick)
         self.keeper.flush()
         self._pass_took = self.now - began
 
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -3,9 +3,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from meadowcross.common.clock import Clock
 from meadowcross.common.settings import Facts
 from meadowcross.common.types import EPSILON, Instant, MachineId, Seconds
+from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs import messages as jm
 from meadowcross.jobs.book import Book, Job, Phase
 from meadowcross.placement.engine import Offer, Room, Want, constrained
@@ -20,14 +23,26 @@
 
 
 class View:
-    def __init__(self, clock: Clock, facts: Facts, book: Book, roster: Roster, health: Health) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        facts: Facts,
+        types: Callable[[], list[MachineType]],
+        book: Book,
+        roster: Roster,
+        health: Health,
+    ) -> None:
         self._clock = clock
+        self._types = types
         self._facts = facts
         self._book = book
         self._roster = roster
         self._health = health
         self._teams = {team.name: team for team in facts.teams}
-        self.prompt = {o.job_class for o in facts.objectives if o.kind == "wait"}
+        self._start_within = {
+            o.job_class: o.within_s for o in facts.objectives if o.kind == "wait" and o.within_s is not None
+        }
+        self.prompt = set(self._start_within)
         """Classes with an aim on how soon their tasks start."""
         self._within = {
             o.job_class: o.within_s
@@ -108,6 +123,7 @@
         borrowing = within == 0
         want = Want(job.id, spec, job.waiting_count, job.rank, slack, job.retrying, borrowing, within)
         want.run_s = run
+        want.warm_only = self._warm_only(job)
         if constrained(spec):
             for placement in job.placed.values():
                 machine = self._roster.machines.get(placement.machine)
@@ -116,6 +132,17 @@
                 want.siblings[placement.machine] = (known, count + 1)
         return want
 
+    def _warm_only(self, job: Job) -> bool:
+        """Whether a task of the job can still start as soon as its class should, but not
+        where its image has to be fetched first. Then it takes room from lower priority where
+        the image is rather than free room elsewhere; half the time is left for that."""
+        within = self._start_within.get(job.spec.job_class)
+        if within is None:
+            return False
+        elapsed = self._now - job.submitted
+        fastest = max((t.fetch_gb_per_s for t in self._types()), default=0.0)
+        return elapsed < within / 2 and elapsed + job.spec.image_gb / max(fastest, 0.01) > within
+
     def _gang_ready(self, job: Job) -> bool:
         """A gang starts anew once all of its old attempt is gone; before it has started,
         a missing member is replaced with the same attempt."""
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -55,6 +55,8 @@
     borrowing: bool = False
     guaranteed: int = 0
     """How many of its tasks are still within its team's guarantee."""
+    warm_only: bool = False
+    """Only a machine that holds the image can start it promptly, and it still may."""
     run_s: Seconds = 0.0
     """How long one of its tasks is expected to run."""
     siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
@@ -178,8 +180,8 @@
             and may_enter(want, held.get(o.machine))
         ]
         if plain:
-            machines = _fill(spec, fitting, count, weights)
-            if len(machines) < count:
+            machines = _fill(want, fitting, count, weights)
+            if len(machines) < count and not want.warm_only:
                 full.add(shape)
         else:
             machines = fill_constrained(want, fitting, count, weights)
@@ -189,12 +191,13 @@
     return choices
 
 
-def _fill(spec: JobSpec, fitting: list[Offer], count: int, weights: Operator) -> list[MachineId]:
+def _fill(want: Want, fitting: list[Offer], count: int, weights: Operator) -> list[MachineId]:
     """The top score takes each task. Machines that hold the image are offered first:
     the smallest exception that spares starts an image fetch (see docs/design.md)."""
+    spec = want.spec
     machines: list[MachineId] = []
     warm = [o for o in fitting if spec.image in o.images]
-    cold = [o for o in fitting if spec.image not in o.images]
+    cold = [] if want.warm_only else [o for o in fitting if spec.image not in o.images]
     for group in (warm, cold):
         heap = [(-score(spec, o, {}, weights), o.machine, o) for o in group]
         heapq.heapify(heap)
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -81,6 +81,8 @@
         candidates = by_machine.get(offer.machine)
         if candidates is None or not allowed(spec, offer.kind):
             continue
+        if want.warm_only and spec.image not in offer.images:
+            continue
         candidates.sort(key=lambda v: v.loss / v.cpus)
         free = [offer.free_cpus, offer.free_gpus, offer.free_memory]
         chosen: list[Victim] = []
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -75,3 +75,18 @@
     assert choose(14.5, "b") == ["b"]
     giving.forget(waiting.job)
     assert choose(14.6, "c") == ["c"]
+
+
+def test_a_prompt_task_takes_room_where_its_image_is_rather_than_free_room_elsewhere():
+    """Once a third of the tasks that should start within a second went to free room and
+    fetched their image for two."""
+    prompt = want(heads=2, rank=1)
+    prompt.warm_only = True
+    offers = [offer("cold"), offer("warm", cpus=1.0, images=["img"]), offer("cold-too", cpus=0.0)]
+    other = want(id="wk-000002", heads=1, rank=2)
+    choices = place(offers, [prompt, other], rooms(), Operator())
+    assert [c.machines for c in choices] == [["warm"], ["cold"]], "nobody else has to wait for warm room"
+    giving = GivingWay({"train"}, Operator())
+    victims = [victim("w", "warm", loss=9.0), victim("c", "cold-too", loss=0.0)]
+    chosen = giving.choose([prompt], {prompt.job: 1}, offers, rooms(), lambda: victims, lambda key: True, Instant(1.0))
+    assert [v.key for _, group in chosen for v in group] == ["w"]
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -314,3 +314,31 @@
     world.submit(heads=5000, cpus=4.0, memoryGb=16.0, builds=["small"], field="east")
     world.pass_time(0.9)
     assert 0 < len(asked) <= 55
+
+
+SIZES = [
+    ("a job of 1,200 tasks", [{"heads": 1200}], False, 1200),
+    ("larger than its team's limit", [{"heads": 1200, "steward": "a"}], False, 8),
+    ("thousands wait, and there is no capacity", [{"heads": 3000}, {"heads": 3000, "steward": "a"}], True, 0),
+]
+
+
+@pytest.mark.parametrize(("jobs", "full", "running"), [s[1:] for s in SIZES], ids=[s[0] for s in SIZES])
+def test_large_jobs(world, jobs, full, running):
+    world.lead()
+    world.cloud.at_once, world.cloud.full = 50, full
+    for number, changes in enumerate(jobs):
+        assert world.submit(id=f"wk-00000{number}", **changes).status == 201
+    world.pass_time(20.0, 0.25)
+    assert len(world.running()) == running
+    # However much waits, a submission gets its final answer at once.
+    assert world.submit(id="wk-000008", heads=1).status == 201
+    assert world.submit(id="wk-000009", steward="nobody").status == 422
+    assert world.submit(id="wk-9").status == 400
+    # What ended makes room for as many again.
+    if running < 1200 and not full:
+        for worker in world.workers.values():
+            for key in list(worker.tasks):
+                worker.end(key)
+        world.pass_time(5.0, 0.25)
+        assert len([task for task in world.running() if task.startswith("wk-000000")]) == running
