--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -22,7 +22,6 @@
     Need,
     Rental,
     dear_kinds,
-    foresee,
     plan,
     press,
     price_of,
@@ -31,6 +30,7 @@
 from meadowcross.jobs.book import Book, Phase, Placement
 from meadowcross.placement.engine import Room, Want, order
 from meadowcross.workers.commands import Sender
+from meadowcross.workers.departures import moving_off
 from meadowcross.workers.roster import Machine, Roster
 
 log = logger("fleet")
@@ -42,8 +42,7 @@
 BOOT_PATIENCE = 3.0
 MAX_DELETED = 5_000
 LIST_FACTOR = 1.5
-SETTLED_S: Seconds = 30.0
-"""A start counts for the aims if no command stops it within this time."""
+
 
 
 class View(Protocol):
@@ -288,20 +287,8 @@
                 self._move_off(machine)
 
     def _move_off(self, machine: Machine) -> None:
-        """Saved progress goes on elsewhere; what can't be saved may end here."""
-        now = self.now
-        for placement in list(machine.placements.values()):
-            job = self._leader.book.jobs.get(placement.task.job)
-            if (
-                job is not None
-                and not job.is_gang
-                and job.spec.checkpoint_s > 0
-                and placement.phase is Phase.RUNNING
-                and placement.running_at is not None
-                and now - placement.running_at > SETTLED_S
-                and self._leader.book.expected_run(job.spec) - (now - placement.running_at) > 2 * job.spec.save_s
-            ):
-                self._leader.stop_task(placement, 2 * job.spec.save_s + 1.0)
+        for placement, grace in moving_off(machine, self._leader.book, self.now):
+            self._leader.stop_task(placement, grace)
 
     # Rentals
 
@@ -337,7 +324,6 @@
         now = self.now
         if not types or not self._needs or now < self._rent_from:
             return
-        foresee(self._needs, self._freed())
         closed = {kind for kind, until in self._closed.items() if until > now}
         for kind, machines in plan(self._needs, self._coming(types), types, closed, self._dear):
             # As many requests at once as it takes: the cloud's rate spaces them.
@@ -349,19 +335,8 @@
                 self._renting[request] = rental
                 Deferred.fromCoroutine(self._rent_one(request, rental))
 
-    def _freed(self) -> dict[MachineKind, float]:
-        """CPUs a second that come free, by kind, as the running tasks end."""
-        freed: dict[MachineKind, float] = {}
-        book = self._leader.book
-        rates = {job.id: job.spec.cpus / run for job in book.jobs.values() if (run := book.expected_run(job.spec)) > 0}
-        for machine in self._leader.roster.machines.values():
-            if machine.placements and self._leader.view.offerable(machine):
-                rate = sum(rates.get(task.job, 0.0) for task in machine.placements)
-                freed[machine.kind] = freed.get(machine.kind, 0.0) + rate
-        return freed
-
     def _coming(self, types: dict[str, m.MachineType]) -> list[Coming]:
-        """Room that is there, or will be once machines are up that are rented already."""
+        """Room that will be there soon without renting more."""
         coming = []
         for rental in self._renting.values():
             kind = types[rental.kind.type]
@@ -373,6 +348,7 @@
                     kind.memory_gb * rental.machines,
                 )
             )
+        now = self.now
         for machine in self._leader.roster.machines.values():
             if machine.condemned is not None or machine.type is None:
                 continue
@@ -385,6 +361,18 @@
                         machine.type.memory_gb - machine.memory_gb,
                     )
                 )
+                if not machine.up:
+                    continue
+                freed = coming[-1]
+                for placement in machine.placements.values():
+                    job = self._leader.book.jobs.get(placement.task.job)
+                    if job is None or placement.phase is not Phase.RUNNING or placement.running_at is None:
+                        continue
+                    left = self._leader.book.expected_run(job.spec) - (now - placement.running_at)
+                    if left < machine.type.boot_s * 0.5:
+                        freed.cpus += job.spec.cpus
+                        freed.gpus += job.spec.gpus
+                        freed.memory_gb += job.spec.memory_gb
         return coming
 
     def _open(self, kind: MachineKind) -> bool:
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -9,7 +9,7 @@
 
 from meadowcross.common.types import EPSILON, MachineId, MachineKind, Seconds
 from meadowcross.fleet.messages import MachineType
-from meadowcross.jobs.messages import JobSpec, Kind
+from meadowcross.jobs.messages import JobSpec
 from meadowcross.placement.engine import allowed, slots
 
 MIN_CHARGE_S: Seconds = 60.0
@@ -25,22 +25,11 @@
     run_s: Seconds
     pressed: bool = True
     """It would miss its deadline if it waited for the capacity there is."""
-    first_s: Seconds = math.inf
-    last_s: Seconds = math.inf
-    """When its first and its last task would start without another machine."""
-
-    def not_begun(self, ready_s: Seconds) -> int:
-        """How many of its tasks still wait when a machine rented now is ready for them."""
-        if self.last_s <= ready_s:
-            return 0
-        if self.first_s >= ready_s or self.last_s == math.inf:
-            return self.count
-        return math.ceil(self.count * (self.last_s - ready_s) / (self.last_s - self.first_s))
 
 
 @dataclass(slots=True)
 class Coming:
-    """Room that is there or on its way."""
+    """Room that is on its way: a booting machine, or tasks about to end."""
 
     kind: MachineKind
     cpus: float
@@ -106,18 +95,6 @@
         need.pressed = cpus <= 0 or slack < ahead / cpus
 
 
-def foresee(needs: Iterable[Need], freed: dict[MachineKind, float]) -> None:
-    """When the needs, given in queue order, would start on what comes free: `freed` is how
-    many CPUs a second do, by kind. A service's end can't be foreseen, a gang needs its
-    room at once: neither waits for what others leave."""
-    ahead = 0.0
-    for need in needs:
-        rate = sum(cpus for kind, cpus in freed.items() if allowed(need.spec, kind))
-        before, ahead = ahead, ahead + need.count * need.spec.cpus
-        if rate > 0 and need.run_s > 0 and need.spec.kind is Kind.ARRAY:
-            need.first_s, need.last_s = before / rate, ahead / rate
-
-
 def absorb(need: Need, coming: Iterable[Coming]) -> int:
     """Put the need's tasks into room that is on its way; returns what is left over."""
     spec = need.spec
@@ -139,9 +116,8 @@
     return machine_type.spot_price if kind.spot else machine_type.price
 
 
-def cost_of(kind: MachineKind, machine_type: MachineType, need: Need, left: int) -> tuple[float, int, int] | None:
-    """Money for one of the need's tasks on this kind, for how many, and the machines it
-    takes; None where it would come too late to start any of them sooner.
+def cost_of(kind: MachineKind, machine_type: MachineType, need: Need, count: int) -> tuple[float, int] | None:
+    """Money for `count` tasks on this kind, and the machines it takes.
 
     A machine is paid for its boot, at least the least charge, and the tasks' rounds;
     room that the tasks leave unused is half counted, since others will use some.
@@ -149,15 +125,12 @@
     per_machine = slots(need.spec, machine_type.cpus, machine_type.gpus, machine_type.memory_gb)
     if per_machine == 0:
         return None
-    fetch = need.spec.image_gb / max(machine_type.fetch_gb_per_s, 0.01)
-    count = min(left, need.not_begun(machine_type.boot_s + fetch))
-    if count == 0:
-        return None
     machines = math.ceil(count / per_machine)
     price = price_of(kind, machine_type)
+    fetch = need.spec.image_gb / max(machine_type.fetch_gb_per_s, 0.01)
     paid_s = max(MIN_CHARGE_S, machine_type.boot_s + fetch + need.run_s)
     used = count / (machines * per_machine)
-    return price * machines * paid_s * (0.5 + 0.5 * used) / count, count, machines
+    return price * machines * paid_s * (0.5 + 0.5 * used), machines
 
 
 def plan(
@@ -184,10 +157,10 @@
                         continue
                     cost = cost_of(kind, machine_type, need, left)
                     if cost is not None:
-                        options.append((cost[0], rentals.get(kind, 0), kind, *cost[1:]))
+                        options.append((cost[0], rentals.get(kind, 0), kind, cost[1]))
         if not options:
             continue
-        _, _, kind, left, machines = min(options)
+        _, _, kind, machines = min(options)
         rentals[kind] = rentals.get(kind, 0) + machines
         chosen = types[kind.type]
         per_machine = slots(need.spec, chosen.cpus, chosen.gpus, chosen.memory_gb)
--- a/meadowcross/workers/departures.py
+++ b/meadowcross/workers/departures.py
@@ -11,6 +11,8 @@
 from meadowcross.workers.roster import Machine
 
 LATE_FACTOR = 1.5
+SETTLED_S: Seconds = 30.0
+"""A start counts for the aims if no command stops it within this time."""
 
 
 def leaving(machine: Machine, book: Book, now: Instant) -> list[tuple[Placement, Seconds]]:
@@ -44,3 +46,21 @@
         for job in jobs
         if job.cancelled is not None and job.placed and now - job.cancelled >= patience
     ]
+
+
+def moving_off(machine: Machine, book: Book, now: Instant) -> list[tuple[Placement, Seconds]]:
+    """What to stop on a draining machine, and the time each may take to save: saved progress
+    goes on elsewhere, what can't be saved or is about to end may end here. A task that runs
+    longer than expected is not about to end: once such tasks held dear machines for minutes."""
+    stops = []
+    for placement in machine.placements.values():
+        job = book.jobs.get(placement.task.job)
+        if job is None or job.is_gang or job.spec.checkpoint_s <= 0 or placement.stop_at is not None:
+            continue
+        if placement.phase is not Phase.RUNNING or placement.running_at is None:
+            continue
+        ran = now - placement.running_at
+        left = book.expected_run(job.spec) - ran
+        if ran > SETTLED_S and not 0 <= left <= 2 * job.spec.save_s:
+            stops.append((placement, 2 * job.spec.save_s + 1.0))
+    return stops
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -8,7 +8,7 @@
 from meadowcross.common.types import Instant, MachineId, MachineKind, Mark, WallTime
 from meadowcross.jobs.book import Book, Phase
 from meadowcross.jobs.messages import JobRecord, JobSpec
-from meadowcross.workers.departures import late_cancels, leaving
+from meadowcross.workers.departures import late_cancels, leaving, moving_off
 from meadowcross.workers.roster import Machine
 from tests.conftest import job
 
@@ -65,3 +65,23 @@
     if not placed:
         one.placed.clear()
     assert len(late_cancels(book.jobs.values(), NOW, 20.0)) == late
+
+
+SAVES = {"stookS": 10.0, "baleS": 4.0, "grazeS": 60.0}
+MOVING = [
+    ("settled, much left", SAVES, Phase.RUNNING, 60.0, [9.0]),
+    ("started just now", SAVES, Phase.RUNNING, 71.0, []),
+    ("about to end", SAVES, Phase.RUNNING, 45.0, []),
+    ("longer than expected: not about to end", SAVES, Phase.RUNNING, 39.0, [9.0]),
+    ("can't save", {"grazeS": 60.0}, Phase.RUNNING, 60.0, []),
+    ("a gang", {**SAVES, "breed": "group"}, Phase.RUNNING, 60.0, []),
+    ("saves already", SAVES, Phase.SAVING, 60.0, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("changes", "phase", "running_at", "graces"), [c[1:] for c in MOVING], ids=[c[0] for c in MOVING]
+)
+def test_what_moves_off_a_draining_machine(changes, phase, running_at, graces):
+    book, _, machine = setting(changes, phase, running_at)
+    assert [grace for _, grace in moving_off(machine, book, NOW)] == graces
