--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -315,9 +315,13 @@
 
     def _rent_for_new(self) -> None:
         self._rent_set = False
-        if self._tick.running:
+        if not self._tick.running:
+            return
+        try:
             self._see_needs()
             self._rent()
+        except Exception:
+            log.exception("renting for new work failed")
 
     def _rent(self) -> None:
         types = {t.name: t for t in self._types()}
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -220,8 +220,6 @@
         self._weights = weights
         self._asked: dict[JobId, Asked] = {}
         self._under_way: set[JobId] = set()
-        self._held_for: set[JobId] = set()
-        """Jobs that wait for room by ends; seen anew in every pass."""
         self.holds: dict[MachineId, Hold] = {}
 
     def forget(self, job: JobId) -> None:
@@ -233,7 +231,7 @@
             asked = self._asked[job]
             if now - asked.at >= GIVE_WAY_S or not any(placed(key) for key in asked.keys):
                 self._under_way.discard(job)
-        self._held_for.clear()
+        # What is held for ends is chosen anew in every pass.
         self.holds = {name: hold for name, hold in self.holds.items() if hold.job in self._under_way}
 
     def choose(
@@ -269,7 +267,6 @@
                     continue
                 machines = room_by_ends(want, short, offers, victims, self.holds)
                 if machines:
-                    self._held_for.add(want.job)
                     self.holds.update((name, Hold(want.job, want.rank)) for name in machines)
                     continue
             chosen = self._victims_for(want, short, offers, victims)
