A leader that workers can't reach makes way; its own silence condemns nothing

On waking from a silence of its own a leader judged machines by reports from before it. Deletions carry no token.

Ruled out: refused requests, spot notices, faulty machines.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -69,9 +69,11 @@
         from meadowcross.leadership.election import Election
         from meadowcross.leadership.messages import Beat
         from meadowcross.leadership.peerlink import PeerLink
+        from meadowcross.leadership.reach import heard_window
         from meadowcross.leadership.term import Term
         from meadowcross.store.client import SHARE_OF_LEADER, SHARE_OF_OTHERS, StoreClient
         from meadowcross.workers.api import WorkerApi
+        from meadowcross.workers.visitors import Visitors
 
         self._reactor = reactor
         self._settings = settings
@@ -86,15 +88,23 @@
         def begin_term(token: Token) -> Term:
             self.store.set_share(SHARE_OF_LEADER)
             term = Term(
-                reactor, settings, operator, self.store, http, cloud, self.catalog.types, token, stand_down
+                reactor,
+                settings,
+                operator,
+                self.store,
+                http,
+                cloud,
+                self.catalog.types,
+                token,
+                self.election,
+                self.link.most_heard,
             )
             self.term = term
             term.start()
             return term
 
-        def stand_down(why: str) -> None:
+        def end_term() -> None:
             self.store.set_share(SHARE_OF_OTHERS)
-            self.election.stand_down(why)
 
         def current_term() -> Term | None:
             return self.term if self.term is not None and not self.term.stopped else None
@@ -107,11 +117,17 @@
         async def progress(job: JobId) -> tuple[int, int] | None:
             if current_term() is not None:
                 return own_progress(job)
-            leader = self.election.leader
+            leader = known_leader()
             return await self.link.ask_progress(leader[0], job) if leader is not None else None
 
+        def known_leader() -> tuple[NodeName, Token] | None:
+            """By the key as last read or by the peers' beats, whichever is newer: a node that
+            the store refuses still learns of a new leader."""
+            seen = [one for one in (self.election.leader, self.link.leading()) if one is not None]
+            return max(seen, key=lambda one: one[1], default=None)
+
         def leader_name() -> NodeName | None:
-            leader = self.election.leader
+            leader = known_leader()
             # Naming ourselves, or nobody, sends the worker on to the next node.
             return leader[0] if leader is not None and leader[0] != node else None
 
@@ -120,10 +136,16 @@
             return term.on_report if term is not None else None
 
         def beat() -> Beat:
-            return Beat(node, self.store.answering(), self.election.token)
+            return Beat(node, self.store.answering(), self.election.token, visitors.count())
+
+        def on_beat(beat: Beat) -> None:
+            own = self.election.token
+            if own is not None and beat.leads is not None and beat.leads > own:
+                self.election.stand_down(f"{beat.node} leads with token {beat.leads}")
 
-        self.election = Election(reactor, self.store, node, uuid.uuid4().hex, operator.hold_s, begin_term)
-        self.link = PeerLink(reactor, settings.peers, beat, own_progress)
+        visitors = Visitors(reactor, heard_window(facts.workers.report_s))
+        self.election = Election(reactor, self.store, node, uuid.uuid4().hex, operator.hold_s, begin_term, end_term)
+        self.link = PeerLink(reactor, settings.peers, beat, own_progress, on_beat)
         self.router = Router()
         JobApi(
             reactor,
@@ -134,7 +156,7 @@
             progress,
             self.link.peer_has_store,
         ).routes(self.router)
-        WorkerApi(take_report, leader_name).routes(self.router)
+        WorkerApi(take_report, leader_name, visitors).routes(self.router)
 
     def start(self) -> None:
         from twisted.internet.defer import Deferred
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -50,6 +50,7 @@
     def wants(self) -> list[Want]: ...
     def rooms(self) -> dict[str, Room]: ...
     def offerable(self, machine: Machine) -> bool: ...
+    def silence(self, machine: Machine) -> Seconds: ...
     def silent(self, machine: Machine) -> bool: ...
 
 
@@ -63,6 +64,7 @@
 
     @property
     def view(self) -> View: ...
+    def sure(self) -> bool: ...
     def add_machine(self, machine: MachineId, kind: MachineKind) -> Machine: ...
     def store_machine(self, machine: Machine) -> None: ...
     def machine_gone(self, name: MachineId) -> None: ...
@@ -130,6 +132,11 @@
 
     def _on_tick(self) -> None:
         try:
+            # What was given up for a cancel is deleted whoever leads: its tasks must go in time.
+            self._delete_condemned()
+            if not self._leader.sure():
+                # Another may lead: its machines are neither silent nor idle because we hear nothing.
+                return
             self._dear = dear_kinds(self._types(), self._operator.dear_multiple)
             self._see_needs()
             self._look_after()
@@ -187,8 +194,9 @@
 
     def _look_after(self) -> None:
         now = self.now
+        view = self._leader.view
         heard = [x for x in self._leader.roster.machines.values() if x.up]
-        quiet = [x for x in heard if now - (x.heard_at or now) > self._operator.silent_s]
+        quiet = [x for x in heard if view.silence(x) > self._operator.silent_s]
         # Many at once: more likely it is us who are cut off, so wait out the lease.
         many = len(quiet) > 2 and len(quiet) * 2 > len(heard)
         patience = self._facts.workers.lease_s if many else self._operator.silent_s
@@ -196,10 +204,10 @@
             if machine.condemned is not None:
                 continue
             if machine.up:
-                silence = now - (machine.heard_at or now)
+                silence = view.silence(machine)
                 if silence > patience:
                     self.condemn(machine, f"silent for {silence:.1f} s")
-                elif self._leader.view.silent(machine):
+                elif view.silent(machine):
                     self._leader.sender.greet(machine.id)
             elif machine.placements or machine.addr is not None:
                 # It was up under an earlier leader: its worker may still look for the new one.
@@ -314,7 +322,7 @@
 
     def _rent_for_new(self) -> None:
         self._rent_set = False
-        if not self._tick.running:
+        if not self._tick.running or not self._leader.sure():
             return
         try:
             self._see_needs()
--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -22,6 +22,8 @@
 log = logger("leadership")
 
 RETRY_S: Seconds = 0.25
+YIELD_HOLDS = 3.0
+"""A node that made way stands again only after so many holds: the others go first."""
 WATCH_S: Seconds = 20.0
 
 
@@ -40,16 +42,20 @@
         life: str,
         hold_s: Seconds,
         begin_term: Callable[[Token], Term],
+        end_term: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._store = store
         self._record = LeaderRecord(node, life)
         self._hold_s = hold_s
         self._begin_term = begin_term
+        self._end_term = end_term
         self._hold: HoldId | None = None
         self._term: Term | None = None
         self._seen: tuple[NodeName, Token] | None = None
         self._stood_down = False
+        self._sure_until = 0.0
+        self._yields_until = 0.0
         self.token: Token | None = None
         """Our own token while we lead."""
 
@@ -58,6 +64,12 @@
         """The last leader seen; kept through an outage, when nobody else can be elected."""
         return self._seen
 
+    def sure(self) -> bool:
+        """Whether our hold can't have ended, by when its last answered renewal was sent.
+        Workers drop an old leader's commands by their token, but the cloud can't tell who
+        asks: a leader that was silent or cut off would return the next one's machines."""
+        return self.token is not None and self._clock.seconds() < self._sure_until
+
     async def run(self) -> None:
         while True:
             try:
@@ -73,7 +85,10 @@
         item = await self._store.get(LEADER_KEY, Urgency.LEADERSHIP)
         if item is None:
             self._seen = None
-            await self._stand()
+            if self._clock.seconds() < self._yields_until:
+                await pause(self._clock, RETRY_S)
+            else:
+                await self._stand()
             return
         record = decode_leader(item.value)
         token = Token(item.mark)
@@ -89,8 +104,10 @@
         await self._await_vacancy(Mark(item.mark))
 
     async def _stand(self) -> None:
+        asked = self._clock.seconds()
         if self._hold is None or not await self._store.renew_hold(self._hold, self._hold_s):
             self._hold = await self._store.open_hold(self._hold_s)
+        self._sure_until = asked + self._hold_s
         try:
             await self._store.transact(
                 [sm.Condition(LEADER_KEY, Mark(0))],
@@ -121,26 +138,27 @@
         self.token = token
         self._stood_down = False
         self._term = self._begin_term(token)
-        renewed = self._clock.seconds()
         try:
             while not self._stood_down:
                 await pause(self._clock, self._hold_s / 4)
                 if self._stood_down:
                     break
+                asked = self._clock.seconds()
                 try:
                     if not await self._store.renew_hold(self._hold, self._hold_s / 2):
                         log.info("hold %d ended: token %d is over", self._hold, token)
                         break
-                    renewed = self._clock.seconds()
+                    self._sure_until = asked + self._hold_s
                 except (Unavailable, Unknown, Refused) as error:
                     # Not a reason to stand down: in an outage nobody else can be elected,
                     # and workers whose reports go unanswered would lose their leases.
-                    log.debug("renewal failing for %.1f s: %s", self._clock.seconds() - renewed, error)
+                    log.debug("renewal fails: %s", error)
         finally:
             hold, self._hold = self._hold, None
             self.token = None
             self._term.stop()
             self._term = None
+            self._end_term()
             log.info("no longer leads with token %d", token)
             if hold is not None:
                 try:
@@ -148,6 +166,11 @@
                 except (Unavailable, Unknown, Refused):
                     log.debug("hold %d left to end by itself", hold)
 
+    def hand_over(self, why: str) -> None:
+        """Another node is better placed: end our hold, and let the others go first."""
+        self._yields_until = self._clock.seconds() + YIELD_HOLDS * self._hold_s
+        self.stand_down(why)
+
     def stand_down(self, why: str) -> None:
         """A higher token was seen, or a commit showed that the key is no longer ours."""
         if self._term is not None and not self._stood_down:
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -23,6 +23,8 @@
     node: NodeName
     store_ok: bool
     leads: Token | None = None
+    hears: int = 0
+    """How many workers reported to it lately, whoever leads."""
 
 
 class ProgressQuestion(Struct, tag="progress?", tag_field="kind"):
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -18,7 +18,7 @@
 from meadowcross.common.clock import Clock
 from meadowcross.common.logging import logger
 from meadowcross.common.settings import Peer
-from meadowcross.common.types import JobId, NodeName, Seconds
+from meadowcross.common.types import JobId, NodeName, Seconds, Token
 from meadowcross.leadership import messages as m
 
 log = logger("leadership")
@@ -92,11 +92,13 @@
         peers: list[Peer],
         own_beat: Callable[[], m.Beat],
         progress_of: Callable[[JobId], tuple[int, int] | None],
+        on_beat: Callable[[m.Beat], None],
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._own_beat = own_beat
         self._progress_of = progress_of
+        self._on_beat = on_beat
         self._lines: dict[NodeName, _Line] = {}
         self._beats: dict[NodeName, tuple[float, m.Beat]] = {}
         self._questions: dict[int, Deferred[tuple[int, int] | None]] = {}
@@ -128,6 +130,7 @@
     def received(self, line: _Line, message: m.Message) -> None:
         if isinstance(message, m.Beat):
             self._beats[message.node] = (self._clock.seconds(), message)
+            self._on_beat(message)
         elif isinstance(message, m.ProgressQuestion):
             counts = self._progress_of(message.job)
             done, running = counts or (0, 0)
@@ -137,10 +140,23 @@
             if waiting is not None:
                 waiting.callback((message.done, message.running) if message.known else None)
 
+    def _fresh(self) -> list[m.Beat]:
+        now = self._clock.seconds()
+        return [beat for at, beat in self._beats.values() if now - at < FRESH_S]
+
     def peer_has_store(self) -> bool:
         """Whether some peer lately said that the state service answers it."""
-        now = self._clock.seconds()
-        return any(now - at < FRESH_S and beat.store_ok for at, beat in self._beats.values())
+        return any(beat.store_ok for beat in self._fresh())
+
+    def most_heard(self) -> int | None:
+        """The most workers that a peer heard lately; None where no peer was heard itself."""
+        return max((beat.hears for beat in self._fresh()), default=None)
+
+    def leading(self) -> tuple[NodeName, Token] | None:
+        """The peer that lately said that it leads, by the highest token."""
+        leads = [(beat.leads, beat.node) for beat in self._fresh() if beat.leads is not None]
+        token, node = max(leads, default=(Token(0), NodeName("")))
+        return (node, token) if leads else None
 
     async def ask_progress(self, leader: NodeName, job: JobId) -> tuple[int, int] | None:
         """The leader's counts, or None where it doesn't know or doesn't answer soon."""
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -50,6 +50,8 @@
 
 log = logger("leadership")
 
+WAKE_S: Seconds = 2.0
+"""Ticks this far apart tell that the process itself was silent between them."""
 PASS_DELAY_S: Seconds = 0.02
 PASS_PAUSE = 3.0
 WARM_AGAIN_S: Seconds = 0.1
@@ -58,6 +60,14 @@
 CANCEL_SHARE = 0.5
 
 
+class Office(Protocol):
+    """What a term asks of the election that it comes from."""
+
+    def sure(self) -> bool: ...
+    def stand_down(self, why: str) -> None: ...
+    def hand_over(self, why: str) -> None: ...
+
+
 class Term:
     def __init__(
         self,
@@ -69,14 +79,16 @@
         cloud: Cloud,
         types: Callable[[], list[fm.MachineType]],
         token: Token,
-        stand_down: Callable[[str], None],
+        office: Office,
+        most_heard: Callable[[], int | None],
     ) -> None:
         self._clock: Clock = reactor
         self._settings = settings
         self._operator = operator
         self._store = store
         self._types = types
-        self._stand_down = stand_down
+        self._office = office
+        self._most_heard = most_heard
         self.token = token
         self.book = Book()
         self.roster = Roster(token)
@@ -96,6 +108,7 @@
         self._pass_set = False
         self._pass_took: Seconds = 0.0
         self._moved_at = self.now
+        self._began = self._ticked_at = self.now
         self._giving_way = GivingWay(self.view.prompt, operator)
         self._tick = LoopingCall(self._on_tick)
         self._tick.clock = reactor
@@ -104,13 +117,17 @@
     def now(self) -> Instant:
         return Instant(self._clock.seconds())
 
+    def sure(self) -> bool:
+        """Whether no other node can lead now."""
+        return self._office.sure()
+
     def start(self) -> None:
         for work in (self._load_and_watch(), self.committer.run()):
             Deferred.fromCoroutine(work).addErrback(self._crashed)
 
     def _crashed(self, failure: Any) -> None:
         log.error("term %d failed: %s", self.token, failure.getTraceback())
-        self._stand_down("internal error")
+        self._office.stand_down("internal error")
 
     def stop(self) -> None:
         if self._stopped:
@@ -260,11 +277,11 @@
         try:
             newest = self._take(report)
         except HigherToken as error:
-            self._stand_down(str(error))
+            self._office.stand_down(str(error))
             return None
-        if not newest:
-            return wm.Response(self.token, [])
-        return wm.Response(self.token, self._commands_for(self.roster.machines[report.machine]))
+        machine = self.roster.machines[report.machine]
+        machine.reported_at = self.now
+        return wm.Response(self.token, self._commands_for(machine) if newest else [])
 
     def _on_direct_report(self, report: wm.Report) -> None:
         if self._stopped or report.machine not in self.roster.machines:
@@ -272,7 +289,7 @@
         try:
             self._take(report)
         except HigherToken as error:
-            self._stand_down(str(error))
+            self._office.stand_down(str(error))
 
     def _take(self, report: wm.Report) -> bool:
         machine = self.add_machine(report.machine, MachineKind(report.type, report.zone, report.spot))
@@ -441,7 +458,7 @@
                 return
             if key == LEADER_KEY:
                 if item is None or item.mark != self._leader_condition.mark:
-                    self._stand_down("the leader key is no longer ours")
+                    self._office.stand_down("the leader key is no longer ours")
                     return
             elif key.startswith(jm.CHUNKS):
                 job_id, chunk = jm.parse_chunk_key(key)
@@ -464,7 +481,16 @@
             self._clock.callLater(max(PASS_DELAY_S, PASS_PAUSE * self._pass_took), self._pass)
 
     def _on_tick(self) -> None:
+        slept = self.now - self._ticked_at > WAKE_S
+        self._ticked_at = self.now
+        if slept:
+            # What passed meanwhile is our own silence, not the machines'; whether we still
+            # lead is asked before anything else rests on it.
+            log.info("this process was silent for a while")
+            self.view.woke()
+            return
         try:
+            self._make_way()
             self._clear_late_cancels()
             self._leave_taken()
             if self.now - self._moved_at >= self._operator.move_period_s:
@@ -474,6 +500,15 @@
         except Exception:
             log.exception("tick failed")
 
+    def _make_way(self) -> None:
+        """Direct answers renew no lease, so only reports tell whether workers reach us. A new
+        leader waits until its workers can have found it."""
+        if self.now - self._began < self._settings.facts.workers.lease_s / 2:
+            return
+        reach = self.view.reach(self._most_heard())
+        if reach.better_elsewhere:
+            self._office.hand_over(f"{reach.reported} of {reach.known} machines report, a peer hears {reach.peers}")
+
     def _clear_late_cancels(self) -> None:
         patience = CANCEL_SHARE * self._settings.facts.workers.cancel_s
         for job, late in late_cancels(self.book.jobs.values(), self.now, patience):
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -11,6 +11,7 @@
 from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs import messages as jm
 from meadowcross.jobs.book import Book, Job, Phase
+from meadowcross.leadership.reach import Reach, heard_window
 from meadowcross.placement.engine import Offer, Room, Want, constrained
 from meadowcross.placement.moves import Replica
 from meadowcross.placement.preemption import Victim, mark_borrowed
@@ -43,6 +44,8 @@
         self.prompt = set(self._start_within)
         """Classes with an aim on how soon their tasks start."""
         self._done_within = self._aims("finished")
+        self._window = heard_window(facts.workers.report_s)
+        self._woke_at = Instant(0.0)
 
     def _aims(self, kind: str) -> dict[str | None, Seconds]:
         """By class, the time that an aim of this kind allows."""
@@ -54,13 +57,28 @@
     def _now(self) -> Instant:
         return Instant(self._clock.seconds())
 
+    def woke(self) -> None:
+        """This process was silent for a while, so nothing was heard whoever spoke."""
+        self._woke_at = self._now
+
+    def silence(self, machine: Machine) -> Seconds:
+        """For how long a machine has said nothing while we listened."""
+        return self._now - max(machine.heard_at or self._woke_at, self._woke_at)
+
     def _heard_since(self) -> Instant:
-        """Earlier than this is silence: a report's period, its jitter and some delay."""
-        return Instant(self._now - 1.25 * self._facts.workers.report_s - 1.0)
+        """Earlier than this is silence."""
+        since = self._now - self._window
+        return Instant(since if self._woke_at <= since else 0.0)
 
     def silent(self, machine: Machine) -> bool:
         return machine.heard_at is None or machine.heard_at < self._heard_since()
 
+    def reach(self, peers: int | None) -> Reach:
+        """How many of the machines in use reported to us lately; `peers` as in Reach."""
+        in_use = [m for m in self._roster.machines.values() if m.condemned is None and (m.up or m.placements)]
+        since = self._heard_since()
+        return Reach(len(in_use), sum(1 for m in in_use if (m.reported_at or -1.0) >= since), peers)
+
     def offerable(self, machine: Machine) -> bool:
         return self._offerable(machine, self._heard_since())
 
--- a/meadowcross/workers/messages.py
+++ b/meadowcross/workers/messages.py
@@ -44,6 +44,12 @@
         return ReportVersion(self.session, self.seq)
 
 
+class Reporter(Struct):
+    """Of a report, just whose it is: all that a node that does not lead reads."""
+
+    machine: MachineId = field(name="stall")
+
+
 DONE = "done"
 ERROR = "error"
 NO_ROOM = "full"
@@ -83,3 +89,4 @@
 
 encode = msgspec.json.Encoder().encode
 decode_report = msgspec.json.Decoder(Report).decode
+decode_reporter = msgspec.json.Decoder(Reporter).decode
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -69,6 +69,8 @@
         self.version = ReportVersion(0, 0)
         self.confirmed = False
         self.heard_at: Instant | None = None
+        self.reported_at: Instant | None = None
+        """When it last reported to us by itself, which is what renews its lease."""
         self.taken_at: Instant | None = None
         self.placements: dict[TaskId, Placement] = {}
         self.open_starts: dict[Start, int] = {}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -72,6 +72,7 @@
         self.term: Term | None = None
         self.terms: list[Term] = []
         self.reporting = True
+        self.peers_hear: int | None = 0
 
     def worker_up(self, machine: dict[str, Any]) -> None:
         worker = Worker(dict(machine))
@@ -84,18 +85,16 @@
     def begin(self, token: int) -> Term:
         cloud = Cloud(self.clock, self.net, Address("cloud:1"), self.settings.facts.cloud)
         self.term = Term(
-            self.clock, self.settings, Operator(), self.store, self.net, cloud, lambda: self.types, token, self.stood
-        )
+            self.clock, self.settings, Operator(), self.store, self.net, cloud, lambda: self.types, token,
+            self.election, lambda: self.peers_hear,
+        )  # fmt: skip
         self.term.start()
         self.terms.append(self.term)
         return self.term
 
-    def stood(self, why: str) -> None:
-        self.election.stand_down(why)
-
     def lead(self, life: str = "one") -> Term:
         """Elect this node and let the term load."""
-        self.election = Election(self.clock, self.store, NodeName("n0"), life, 3.0, self.begin)
+        self.election = Election(self.clock, self.store, NodeName("n0"), life, 3.0, self.begin, lambda: None)
         Deferred.fromCoroutine(self.election.run())
         self.pass_time(0.5)
         assert self.term is not None and self.term.loaded
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -26,7 +26,7 @@
 def node(world, name):
     record = Record()
     store = StoreClient(world.clock, world.net, "state:1", world.settings.facts.state)
-    election = Election(world.clock, store, NodeName(name), name + "-life", 3.0, record.begin)
+    election = Election(world.clock, store, NodeName(name), name + "-life", 3.0, record.begin, lambda: None)
     Deferred.fromCoroutine(election.run())
     return election, record
 
@@ -62,3 +62,26 @@
     world.state.outage = True
     world.pass_time(30.0, 0.25)
     assert election.token is not None and record.stopped == 0
+
+
+def test_a_node_that_makes_way_lets_the_others_go_first(world):
+    nodes = [node(world, f"n{i}") for i in range(3)]
+    world.pass_time(1.0)
+    old, record = next((e, r) for e, r in nodes if e.token is not None)
+    assert old.sure()
+    old.hand_over("workers reach others")
+    assert not old.sure()
+    world.pass_time(2.0)
+    assert record.stopped > 0
+    assert [e.token is not None for e, _ in nodes].count(True) == 1 and old.token is None
+
+
+def test_what_a_leader_may_do_outside_ends_with_its_last_sure_renewal(world):
+    election, _ = node(world, "n0")
+    world.pass_time(1.0)
+    world.state.outage = True
+    world.pass_time(3.0)
+    assert election.token is not None and not election.sure()
+    world.state.outage = False
+    world.pass_time(1.0)
+    assert election.sure()
--- /dev/null
+++ b/tests/test_reach.py
@@ -0,0 +1,100 @@
+"""A leader that workers can't reach, or that was silent itself, does no harm and makes way."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from meadowcross.common.types import MachineId
+from meadowcross.leadership.reach import Reach
+from meadowcross.workers.api import WorkerApi
+from meadowcross.workers.visitors import Visitors
+
+REACH = [
+    ("all report", Reach(10, 10, 0), False),
+    ("half report", Reach(10, 5, 9), False),
+    ("most are silent, and a peer hears them", Reach(10, 4, 5), True),
+    ("most are silent for the peers too", Reach(10, 4, 4), False),
+    ("neither workers nor peers reach us", Reach(10, 0, None), True),
+    ("workers reach us, peers don't", Reach(10, 10, None), False),
+    ("no machine is in use", Reach(0, 0, 0), False),
+    ("the only machine is lost", Reach(1, 0, 0), False),
+]
+
+
+@pytest.mark.parametrize(("reach", "yields"), [c[1:] for c in REACH], ids=[c[0] for c in REACH])
+def test_who_makes_way(reach, yields):
+    assert reach.better_elsewhere is yields
+
+
+def test_a_follower_counts_the_workers_that_come_by(world):
+    visitors = Visitors(world.clock, 4.0)
+    api = WorkerApi(lambda: None, lambda: None, visitors)
+    for name in ("i-1", "i-2", "i-1"):
+        assert api.report(json.dumps({"stall": name}).encode()).status == 421
+    assert api.report(b"{}").status == 400
+    assert visitors.count() == 2
+    world.clock.advance(3.0)
+    visitors.came(MachineId("i-1"))
+    world.clock.advance(2.0)
+    assert visitors.count() == 1
+
+
+def busy(world, heads=8):
+    """A leader with tasks running on a few machines."""
+    term = world.lead()
+    world.submit(heads=heads, cpus=4.0)
+    world.pass_time(10.0, 0.25)
+    assert len(world.running()) == heads
+    return term
+
+
+CUTS = [
+    ("a peer hears them", 8, True),
+    ("peers hear no more than we do", 0, False),
+    ("cut off from peers as well", None, True),
+]
+
+
+@pytest.mark.parametrize(("peers", "yields"), [c[1:] for c in CUTS], ids=[c[0] for c in CUTS])
+def test_a_leader_that_most_workers_can_not_reach_makes_way_before_leases_end(world, peers, yields):
+    term = busy(world)
+    world.pass_time(5.0, 0.25)
+    world.reporting = False
+    world.peers_hear = peers
+    world.pass_time(7.0, 0.25)
+    assert term.stopped is yields
+    assert world.cloud.deleted == []
+    # The others go first: nobody else stands here, so the key stays free for a while.
+    assert (world.state.value("lead") is None) is yields
+    world.pass_time(10.0, 0.25)
+    assert world.state.value("lead") is not None
+
+
+def test_after_a_silence_of_its_own_a_leader_gives_up_no_machine(world):
+    term = busy(world)
+    # The process did not run for 70 s; then all its timers fire late, in one step. Its hold
+    # lived on, as after an outage of the store at the same time.
+    world.state.holds = {hold: (until + 80.0, ttl) for hold, (until, ttl) in world.state.holds.items()}
+    world.clock.advance(70.0)
+    world.pass_time(4.0)
+    assert not term.stopped and world.cloud.deleted == []
+    assert len(world.running()) == 8
+
+
+def test_a_leader_that_may_have_been_followed_rents_and_returns_nothing(world):
+    term = busy(world)
+    for worker in world.workers.values():
+        for key in list(worker.tasks):
+            worker.end(key)
+    world.pass_time(1.0)
+    world.state.outage = True
+    world.pass_time(4.0, 0.25)
+    rented = len(world.cloud.requests)
+    world.pass_time(60.0, 0.5)
+    assert not term.stopped
+    assert world.cloud.deleted == [] and len(world.cloud.requests) == rented
+    world.state.outage = False
+    world.pass_time(30.0, 0.5)
+    assert world.cloud.deleted
