Questions share fresh reads: one comparison of versions answers all that wait

Cause: in a swarm of one-task jobs 800 users poll; each poll was one or two reads and a question to the leader. A follower's fifth of the request budget (40 a second) was spent on them, so polls and submissions waited behind each other (1,839 timeouts, 503s, and all nodes unhealthy for a while).

Ruled out: refusals by the store (none), its change limit, locks in the reactor.

--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Awaitable, Callable
-from threading import Lock
 
 import msgspec
 
@@ -15,6 +13,7 @@
 from meadowcross.common.types import EPSILON, JobId, Mark, WallTime
 from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs import messages as m
+from meadowcross.jobs.lookup import Lookup
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown
@@ -22,31 +21,12 @@
 log = logger("jobs")
 
 RETRY_AFTER_S = 1
-MAX_FINAL = 2_000
 MAX_OPEN_REQUESTS = 300
 TRIES = 3
 
 Progress = Callable[[JobId], Awaitable[tuple[int, int] | None]]
 
 
-class FinalStates:
-    """A bounded cache. Only final states may be cached: they never change."""
-
-    def __init__(self) -> None:
-        self._lock = Lock()
-        self._ended: OrderedDict[JobId, m.EndedRecord] = OrderedDict()
-
-    def get(self, job: JobId) -> m.EndedRecord | None:
-        with self._lock:
-            return self._ended.get(job)
-
-    def put(self, job: JobId, ended: m.EndedRecord) -> None:
-        with self._lock:
-            self._ended[job] = ended
-            while len(self._ended) > MAX_FINAL:
-                self._ended.popitem(last=False)
-
-
 def answer_of(job: JobId, standing: m.Standing, done: int, running: int, status: int = 200) -> Answer:
     return Answer(status, m.encode(m.JobAnswer(job, standing, done, running)) + b"\n")
 
@@ -99,7 +79,7 @@
         self._types = types
         self._progress = progress
         self._peer_has_store = peer_has_store
-        self._final = FinalStates()
+        self._lookup = Lookup(clock, store)
         self._open_requests = 0
         self._chunk = max(1, store.max_value // 64)
 
@@ -154,7 +134,7 @@
         if len(bytes(value)) > self._store.max_value:
             return reason(400, "the job's description is too long")
         try:
-            await self._store.transact(
+            mark = await self._store.transact(
                 [sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))],
                 [sm.Put(m.open_key(job), value)],
                 Urgency.USER,
@@ -167,41 +147,20 @@
             if known is None:
                 raise
             return known
+        self._lookup.opened(job, mark, spec.tasks)
         log.info("job %s accepted: %s, %d tasks", job, spec.job_class, spec.tasks)
         return answer_of(job, m.Standing.PENDING, 0, 0, 201)
 
-    async def _look_up(self, job: JobId) -> m.EndedRecord | tuple[m.JobRecord, Mark] | None:
-        """A fresh read. Jobs move from the open to the ended key in one transaction,
-        so a job found under neither, in this order, was never accepted."""
-        ended = self._final.get(job)
-        if ended is not None:
-            return ended
-        item = await self._store.get(m.open_key(job))
-        if item is not None:
-            record = m.decode_record(item.value)
-            if record.cancelled is not None:
-                self._final.put(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
-            return record, item.mark
-        item = await self._store.get(m.ended_key(job))
-        if item is None:
-            return None
-        ended = m.decode_ended(item.value)
-        self._final.put(job, ended)
-        return ended
-
     async def _known(self, job: JobId) -> Answer | None:
-        found = await self._look_up(job)
+        found = await self._lookup.find(job)
         if found is None:
             return None
         if isinstance(found, m.EndedRecord):
             done = found.tasks if found.standing is m.Standing.DONE else 0
             return answer_of(job, found.standing, done, 0)
-        record, _ = found
-        if record.cancelled is not None:
-            return answer_of(job, m.Standing.CANCELLED, 0, 0)
         done, running = await self._progress(job) or (0, 0)
         # All tasks done but not yet stored as such: not done for the user.
-        done = min(done, record.spec.tasks - 1) if running == 0 else done
+        done = min(done, found.tasks - 1) if running == 0 else done
         return answer_of(job, m.Standing.RUNNING if running else m.Standing.PENDING, done, running)
 
     async def query(self, body: bytes, job_text: str) -> Answer:
@@ -214,18 +173,21 @@
         if not is_job_id(job_text):
             return reason(404, "no such job")
         for _ in range(TRIES):
-            found = await self._look_up(job)
+            found = await self._lookup.find(job)
             if found is None:
                 return reason(404, "no such job")
             if isinstance(found, m.EndedRecord):
                 return answer_of(job, found.standing, 0, 0)
-            record, mark = found
+            item = await self._store.get(m.open_key(job))
+            if item is None:
+                continue
+            record = m.decode_record(item.value)
             if record.cancelled is not None:
                 return answer_of(job, m.Standing.CANCELLED, 0, 0)
             record.cancelled = WallTime(self._clock.seconds())
             try:
                 await self._store.transact(
-                    [sm.Condition(m.open_key(job), mark)],
+                    [sm.Condition(m.open_key(job), item.mark)],
                     [sm.Put(m.open_key(job), sm.raw(record))],
                     Urgency.USER,
                     1.5,
@@ -234,7 +196,7 @@
                 # Lost a race, or no answer: only a fresh read tells what the job is now.
                 continue
             log.info("job %s cancelled", job)
-            self._final.put(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
+            self._lookup.ended(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
             return answer_of(job, m.Standing.CANCELLED, 0, 0)
         return reason(503, "the job is changing", RETRY_AFTER_S)
 
--- /dev/null
+++ b/meadowcross/jobs/lookup.py
@@ -0,0 +1,190 @@
+"""What a job is now, by a fresh read that questions share.
+
+A non-final answer, or that a job is unknown, must rest on a read that began after the
+question came. One read may answer many: the questions that wait become one transaction
+without changes, which compares the versions that this node remembers; only jobs whose
+version has changed are read one by one, and many unknown ones by one range read.
+Asked one by one, a swarm's questions alone once spent a node's whole request budget, and
+submissions timed out behind them.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Coroutine, Iterable
+from threading import Lock
+from typing import Any, NamedTuple, TypeVar
+
+from twisted.internet.defer import Deferred, DeferredList
+
+from meadowcross.common.clock import Clock
+from meadowcross.common.types import JobId, Mark, Seconds
+from meadowcross.jobs import messages as m
+from meadowcross.store import messages as sm
+from meadowcross.store.budget import Urgency
+from meadowcross.store.client import StoreClient, Unavailable
+
+ROUND_S: Seconds = 0.02
+"""Questions are gathered for so long; a round is a request, so this also spaces requests."""
+ROUNDS_AT_ONCE = 2
+"""One may hang on a lost answer; the other goes on."""
+RANGE_FROM = 8
+"""So many unknown open jobs are cheaper to read as a range than one by one."""
+MAX_REMEMBERED = 5_000
+
+
+class Open(NamedTuple):
+    """An open job as last read: its record's version and its number of tasks."""
+
+    mark: Mark
+    tasks: int
+
+
+ABSENT = Open(Mark(0), 0)
+"""Remembered of an id that was never submitted, as of the last read."""
+
+Found = m.EndedRecord | Open | None
+
+
+class Lookup:
+    def __init__(self, clock: Clock, store: StoreClient) -> None:
+        self._clock = clock
+        self._store = store
+        self._lock = Lock()
+        self._ended: OrderedDict[JobId, m.EndedRecord] = OrderedDict()
+        self._open: OrderedDict[JobId, Open] = OrderedDict()
+        self._waiting: dict[JobId, list[Deferred[Found]]] = {}
+        self._rounds = 0
+        self._round_set = False
+
+    def final(self, job: JobId) -> m.EndedRecord | None:
+        with self._lock:
+            return self._ended.get(job)
+
+    def ended(self, job: JobId, record: m.EndedRecord) -> m.EndedRecord:
+        """Only final states may be answered from memory: they never change."""
+        with self._lock:
+            self._open.pop(job, None)
+            _remember(self._ended, job, record)
+        return record
+
+    def opened(self, job: JobId, mark: Mark, tasks: int) -> Open:
+        """Remembered to be compared, never to be answered from."""
+        seen = Open(mark, tasks)
+        with self._lock:
+            _remember(self._open, job, seen)
+        return seen
+
+    def seen(self, job: JobId, item: sm.Item) -> Found:
+        """An open key as just read."""
+        record = m.decode_record(item.value)
+        if record.cancelled is not None:
+            return self.ended(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
+        return self.opened(job, item.mark, record.spec.tasks)
+
+    def find(self, job: JobId) -> Deferred[Found]:
+        """The job's state by a read that begins after this call."""
+        answer: Deferred[Found] = Deferred()
+        ended = self.final(job)
+        if ended is not None:
+            answer.callback(ended)
+        else:
+            with self._lock:
+                self._waiting.setdefault(job, []).append(answer)
+            self._arm()
+        return answer
+
+    def _arm(self) -> None:
+        if not self._round_set and self._waiting and self._rounds < ROUNDS_AT_ONCE:
+            self._round_set = True
+            self._clock.callLater(ROUND_S, self._begin)
+
+    def _begin(self) -> None:
+        self._round_set = False
+        with self._lock:
+            taken: dict[JobId, list[Deferred[Found]]] = {}
+            # An absent job takes two conditions.
+            while self._waiting and len(taken) < self._store.max_conditions // 2:
+                job = next(iter(self._waiting))
+                taken[job] = self._waiting.pop(job)
+        self._rounds += 1
+        Deferred.fromCoroutine(self._round(taken))
+        self._arm()
+
+    async def _round(self, taken: dict[JobId, list[Deferred[Found]]]) -> None:
+        found: dict[JobId, Found] = {}
+        failure: Exception = Unavailable("not read")
+        try:
+            await self._read(taken, found)
+        except Exception as error:
+            failure = error
+        finally:
+            self._rounds -= 1
+            self._arm()
+        for job, answers in taken.items():
+            for answer in answers:
+                if job in found:
+                    answer.callback(found[job])
+                else:
+                    answer.errback(failure)
+
+    async def _read(self, jobs: Iterable[JobId], found: dict[JobId, Found]) -> None:
+        """Put into `found` what is found out; what a failing read leaves is unanswered."""
+        with self._lock:
+            known = {job: seen for job in jobs if (seen := self._open.get(job)) is not None}
+        conditions = []
+        for job, seen in known.items():
+            conditions.append(sm.Condition(m.open_key(job), seen.mark))
+            if seen is ABSENT:
+                conditions.append(sm.Condition(m.ended_key(job), Mark(0)))
+        changed = await self._store.compare(conditions) if conditions else set()
+        unread = []
+        for job in jobs:
+            remembered = known.get(job)
+            if remembered is None or m.open_key(job) in changed or m.ended_key(job) in changed:
+                unread.append(job)
+            else:
+                found[job] = None if remembered is ABSENT else remembered
+        unknown = [job for job in unread if known.get(job, ABSENT) is ABSENT]
+        if len(unknown) >= RANGE_FROM:
+            items, _ = await self._store.list(m.OPEN, Urgency.USER)
+            by_key = {item.key: item for item in items}
+            for job in unknown:
+                item = by_key.get(m.open_key(job))
+                if item is not None:
+                    found[job] = self.seen(job, item)
+        await _all(self._read_one(job, found) for job in unread if job not in found)
+
+    async def _read_one(self, job: JobId, found: dict[JobId, Found]) -> None:
+        """Jobs move from the open to the ended key in one transaction, so a job found under
+        neither, in this order, was never accepted."""
+        item = await self._store.get(m.open_key(job))
+        if item is not None:
+            found[job] = self.seen(job, item)
+            return
+        item = await self._store.get(m.ended_key(job))
+        if item is not None:
+            found[job] = self.ended(job, m.decode_ended(item.value))
+            return
+        with self._lock:
+            _remember(self._open, job, ABSENT)
+        found[job] = None
+
+
+async def _all(work: Iterable[Coroutine[Any, Any, None]]) -> None:
+    """Wait for all; then raise the first failure, if any."""
+    begun = [Deferred.fromCoroutine(one) for one in work]
+    outcomes: list[tuple[bool, Any]] = await DeferredList(begun, consumeErrors=True)
+    for good, outcome in outcomes:
+        if not good:
+            outcome.raiseException()
+
+
+V = TypeVar("V")
+
+
+def _remember(memory: OrderedDict[JobId, V], job: JobId, value: V) -> None:
+    memory.pop(job, None)
+    memory[job] = value
+    while len(memory) > MAX_REMEMBERED:
+        memory.popitem(last=False)
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -28,17 +28,17 @@
 
 
 class ProgressQuestion(Struct, tag="progress?", tag_field="kind"):
-    """Asks the leader for a job's counts, for display."""
+    """Asks the leader for jobs' counts, for display."""
 
     number: int
-    job: JobId
+    jobs: list[JobId]
 
 
 class ProgressAnswer(Struct, tag="progress", tag_field="kind"):
+    """Done and running tasks of those jobs that the leader knows."""
+
     number: int
-    known: bool
-    done: int = 0
-    running: int = 0
+    counts: dict[JobId, tuple[int, int]]
 
 
 Message = Beat | ProgressQuestion | ProgressAnswer
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import TimeoutError as DeferredTimeout
 from twisted.internet.protocol import Factory, ReconnectingClientFactory
 from twisted.internet.task import LoopingCall
 from twisted.protocols.basic import NetstringReceiver
@@ -27,6 +28,10 @@
 FRESH_S: Seconds = 3.0
 ANSWER_S: Seconds = 0.4
 MAX_QUESTIONS = 256
+MAX_JOBS = 1_000
+"""Of one question, so that its answer fits a netstring."""
+
+Counts = dict[JobId, tuple[int, int]]
 
 
 class _Line(NetstringReceiver):
@@ -101,7 +106,8 @@
         self._on_beat = on_beat
         self._lines: dict[NodeName, _Line] = {}
         self._beats: dict[NodeName, tuple[float, m.Beat]] = {}
-        self._questions: dict[int, Deferred[tuple[int, int] | None]] = {}
+        self._questions: dict[int, Deferred[Counts]] = {}
+        self._asking: dict[JobId, list[Deferred[tuple[int, int] | None]]] = {}
         self._number = 0
 
     def start(self, reactor: Any, bind: str) -> None:
@@ -132,13 +138,12 @@
             self._beats[message.node] = (self._clock.seconds(), message)
             self._on_beat(message)
         elif isinstance(message, m.ProgressQuestion):
-            counts = self._progress_of(message.job)
-            done, running = counts or (0, 0)
-            line.send(m.ProgressAnswer(message.number, counts is not None, done, running))
+            counts = {job: known for job in message.jobs if (known := self._progress_of(job)) is not None}
+            line.send(m.ProgressAnswer(message.number, counts))
         else:
             waiting = self._questions.pop(message.number, None)
             if waiting is not None:
-                waiting.callback((message.done, message.running) if message.known else None)
+                waiting.callback(message.counts)
 
     def _fresh(self) -> list[m.Beat]:
         now = self._clock.seconds()
@@ -158,20 +163,32 @@
         token, node = max(leads, default=(Token(0), NodeName("")))
         return (node, token) if leads else None
 
-    async def ask_progress(self, leader: NodeName, job: JobId) -> tuple[int, int] | None:
-        """The leader's counts, or None where it doesn't know or doesn't answer soon."""
-        line = self._lines.get(leader)
-        if line is None or len(self._questions) >= MAX_QUESTIONS:
-            return None
-        self._number += 1
-        number = self._number
+    def ask_progress(self, leader: NodeName, job: JobId) -> Deferred[tuple[int, int] | None]:
+        """The leader's counts, or None where it doesn't know or doesn't answer soon. What is
+        asked in one turn of the loop goes as one question."""
         answer: Deferred[tuple[int, int] | None] = Deferred()
-        self._questions[number] = answer
-        line.send(m.ProgressQuestion(number, job))
-        answer.addTimeout(ANSWER_S, self._clock)  # type: ignore[arg-type]
-        try:
-            return await answer
-        except Exception:
-            return None
-        finally:
-            self._questions.pop(number, None)
+        if not self._asking:
+            self._clock.callLater(0, lambda: Deferred.fromCoroutine(self._ask(leader)))
+        self._asking.setdefault(job, []).append(answer)
+        return answer
+
+    async def _ask(self, leader: NodeName) -> None:
+        asking, self._asking = self._asking, {}
+        counts: Counts = {}
+        line = self._lines.get(leader)
+        if line is not None and len(self._questions) < MAX_QUESTIONS:
+            self._number += 1
+            number = self._number
+            reply: Deferred[Counts] = Deferred()
+            self._questions[number] = reply
+            line.send(m.ProgressQuestion(number, list(asking)[:MAX_JOBS]))
+            reply.addTimeout(ANSWER_S, self._clock)  # type: ignore[arg-type]
+            try:
+                counts = await reply
+            except DeferredTimeout:
+                log.debug("%s tells no counts", leader)
+            finally:
+                self._questions.pop(number, None)
+        for job, answers in asking.items():
+            for answer in answers:
+                answer.callback(counts.get(job))
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -143,6 +143,14 @@
             raise Conflicted(m.decode_conflict(reply.body).failed)
         raise Refused(f"transaction: {reply.status} {reply.body[:200]!r}")
 
+    async def compare(self, conditions: Sequence[m.Condition], timeout: Seconds = CALL_S) -> set[str]:
+        """The keys, of those named, that no longer have the version given."""
+        try:
+            await self.transact(conditions, [], Urgency.USER, timeout)
+        except Conflicted as conflict:
+            return set(conflict.failed)
+        return set()
+
     async def open_hold(self, ttl: Seconds) -> HoldId:
         body = m.encode(m.HoldRequest(int(ttl * 1000)))
         reply = await self._call("POST", "/holds", body, Urgency.LEADERSHIP)
--- /dev/null
+++ b/tests/test_lookup.py
@@ -0,0 +1,110 @@
+"""Questions share reads, and every answer that is not final rests on a read begun after it."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from meadowcross.jobs.lookup import ABSENT, Lookup
+
+
+def put(world, *numbers, cancelled=False):
+    for number in numbers:
+        spec = {"id": f"wk-{number:06d}", "herd": "h", "steward": "b", "breed": "batch", "rank": "normal", "heads": 3}
+        spec |= {"cpus": 1.0, "gpus": 0.0, "memoryGb": 1.0, "feedstock": "i", "pullGb": 0.0, "oneZone": False}
+        spec |= {"scatter": False, "stubble": True, "grazeS": 1.0, "stookS": 0.0, "baleS": 0.0}
+        data = {"spec": spec, "t": 1.0, "k": 256, "c": 2.0 if cancelled else None}
+        world.state.transact({"if": [], "writes": [{"write": f"j/wk-{number:06d}", "data": data}]})
+
+
+def end(world, number):
+    writes = [{"drop": f"j/wk-{number:06d}"}, {"write": f"e/wk-{number:06d}", "data": {"s": "done", "n": 3}}]
+    world.state.transact({"if": [], "writes": writes})
+
+
+def ask(world, lookup, numbers, seconds=1.0):
+    """What all the questions, asked at one moment, are answered, and the requests it took."""
+    answers = {}
+    before = len(world.net.calls)
+    for number in numbers:
+        lookup.find(f"wk-{number:06d}").addBoth(lambda found, n=number: answers.setdefault(n, found))
+    world.pass_time(seconds)
+    return answers, [path for _, path, _ in world.net.calls[before:]]
+
+
+REQUESTS = [
+    # name, jobs there, jobs asked for, the most requests at first, and once they are known
+    ("one job", [1], [1], 1, 1),
+    ("a few", [1, 2, 3], [1, 2, 3], 3, 1),
+    ("many unknown ones read as a range", range(1, 40), range(1, 40), 1, 1),
+    ("hundreds", range(1, 301), range(1, 301), 7, 7),
+    ("one that nobody submitted", [], [1], 2, 1),
+]
+
+
+@pytest.mark.parametrize(("there", "asked", "first", "then"), [c[1:] for c in REQUESTS], ids=[c[0] for c in REQUESTS])
+def test_questions_share_reads(world, there, asked, first, then):
+    put(world, *there)
+    lookup = Lookup(world.clock, world.store)
+    for most in (first, then, then):
+        answers, requests = ask(world, lookup, [*asked, *asked])
+        assert [n for n in asked if answers[n] is None] == [n for n in asked if n not in there]
+        assert len(requests) <= most, requests
+
+
+def test_what_changed_since_is_seen_by_the_next_question(world):
+    put(world, 1, 2, 3)
+    lookup = Lookup(world.clock, world.store)
+    assert {n: a.tasks for n, a in ask(world, lookup, [1, 2, 3])[0].items()} == {1: 3, 2: 3, 3: 3}
+    assert ask(world, lookup, [9])[0] == {9: None}
+    end(world, 1)
+    put(world, 2, cancelled=True)
+    put(world, 9)
+    answers, _ = ask(world, lookup, [1, 2, 3, 9])
+    assert [answers[n].standing.value for n in (1, 2)] == ["done", "cancelled"]
+    assert answers[3].tasks == 3 and answers[9].tasks == 3 and answers[9] is not ABSENT
+    # Final states need no read any more, not even in an outage.
+    world.state.outage = True
+    answers, requests = ask(world, lookup, [1, 2])
+    assert [answers[n].standing.value for n in (1, 2)] == ["done", "cancelled"] and requests == []
+
+
+def test_a_question_that_came_during_a_read_is_not_answered_by_it(world):
+    put(world, 1)
+    lookup = Lookup(world.clock, world.store)
+    ask(world, lookup, [1])
+    held = []
+
+    async def call(method, address, path, body=None, timeout=2.0):
+        # The store has answered, but its answer is still under way.
+        reply = await type(world.net).call(world.net, method, address, path, body, timeout)
+        waits = Deferred()
+        held.append(waits)
+        await waits
+        return reply
+
+    world.store._http = type("Slow", (), {"call": staticmethod(call)})()
+    first, second = [], []
+    lookup.find("wk-000001").addBoth(first.append)
+    world.pass_time(0.1)
+    end(world, 1)
+    lookup.find("wk-000001").addBoth(second.append)
+    while held:
+        held.pop(0).callback(None)
+        world.pass_time(0.1)
+    assert first[0].tasks == 3 and second[0].standing.value == "done"
+
+
+def test_without_an_answer_every_question_is_refused_at_once_with_a_time_to_come_back(world):
+    api = world.api()
+    put(world, *range(1, 20))
+    world.state.outage = True
+    answers = []
+    for number in range(1, 20):
+        work = api._guarded(api.query)(b"", f"wk-{number:06d}")
+        Deferred.fromCoroutine(work).addBoth(answers.append)
+    world.pass_time(0.3)
+    assert {(a.status, a.retry_after) for a in answers} == {(503, 1)} and len(answers) == 19
+    assert all(json.loads(a.body) for a in answers)
