--- a/meadowcross/jobs/book.py
+++ b/meadowcross/jobs/book.py
@@ -72,6 +72,8 @@
         self.stored_done: set[int] = set()
         self.paused_until = Instant(0.0)
         self.failed_on: set[MachineId] = set()
+        self.sound_on: set[MachineId] = set()
+        """Machines where a task of it was done, or lived longer than another needed to fail."""
         self.pauses = 0
         self.gang_attempt: Attempt | None = None
         self.ending = False
@@ -93,6 +95,17 @@
         """Whether a task waits that was stopped, lost or failed."""
         return bool(self._waiting) and self._waiting[0][0] == 0
 
+    @property
+    def times_sound(self) -> int:
+        """On how many machines it fared well; all that an earlier leader saw counts as one."""
+        return max(len(self.sound_on), 1 if self.done_count else 0)
+
+    @property
+    def probing(self) -> bool:
+        """It failed more widely than it succeeded: one task at a time tells whether it still
+        does. Hundreds would only take starts, writes and fetches from others."""
+        return len(self.failed_on) > self.times_sound
+
     def take_waiting(self) -> int:
         return heapq.heappop(self._waiting)[1]
 
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -58,6 +58,7 @@
 TICK_S: Seconds = 0.5
 WATCH_S: Seconds = 20.0
 CANCEL_SHARE = 0.5
+BAD_MACHINE = "it failed what fares well elsewhere"
 
 
 class Office(Protocol):
@@ -92,7 +93,7 @@
         self.token = token
         self.book = Book()
         self.roster = Roster(token)
-        self.health = Health()
+        self.health = Health(lambda name: name in self.roster.machines)
         self.view = View(reactor, settings.facts, types, self.book, self.roster, self.health)
         self._leader_condition = sm.Condition(LEADER_KEY, Mark(token))
         self.committer = Committer(reactor, store, self._leader_condition, self._reread)
@@ -330,12 +331,12 @@
                 self.book.learn_run(job, now - placement.running_at)
             machine.images.add(job.spec.image)
             self.book.task_done(placement)
-            self._condemn(self.health.succeeded(job, machine.id), "it failed what succeeds elsewhere")
+            self._condemn(self.health.succeeded(job, machine.id), BAD_MACHINE)
         else:
             log.info("task %s attempt %d gone from %s: %s", placement.task, placement.attempt, machine.id, outcome.why)
             self.book.gone(placement)
             if outcome.why in (wm.ERROR, wm.UNKNOWN_JOB) and job.cancelled is None:
-                self._condemn(self.health.failed(job, machine.id, now), "it fails tasks")
+                self._condemn(self.health.failed(job, placement, now), "it fails what fares well elsewhere")
             elif outcome.why == wm.NO_ROOM:
                 job.paused_until = Instant(now + 0.5)
         self._after_change(job)
@@ -394,7 +395,7 @@
     # Storing
 
     def _ended(self, job: Job) -> None:
-        self.health.forget_job(job.id)
+        self.health.forget_job(job)
         self._giving_way.forget(job.id)
 
     def _stored(self, placement: Placement) -> None:
@@ -491,6 +492,7 @@
             return
         try:
             self._make_way()
+            self._condemn(self.health.verdicts(self.now), BAD_MACHINE)
             self._clear_late_cancels()
             self._leave_taken()
             if self.now - self._moved_at >= self._operator.move_period_s:
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -128,6 +128,8 @@
                 continue
             if job.spec.team not in self._teams or not self._gang_ready(job):
                 continue
+            if job.probing and job.placed:
+                continue
             wants.append(self._want(job))
         return wants
 
@@ -139,7 +141,9 @@
         team = self._teams[spec.team]
         within = max(0, int((team.cpus - self._book.use_of(spec.team).cpus + EPSILON) / spec.cpus))
         borrowing = within == 0
-        want = Want(job.id, spec, job.waiting_count, job.rank, slack, job.retrying, borrowing, within)
+        count = 1 if job.probing and not job.is_gang else job.waiting_count
+        retrying = job.retrying and not job.probing
+        want = Want(job.id, spec, count, job.rank, slack, retrying, borrowing, within)
         want.run_s = run
         want.warm_only = self._warm_only(job)
         if constrained(spec):
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -38,5 +38,5 @@
     types = decode_types(encode({"builds": TYPES})).types
     book = Book()
     book.add(JobRecord(msgspec.convert(job(herd=job_class, pullGb=image), JobSpec), WallTime(100.0)), Mark(1))
-    view = View(clock, facts, lambda: types, book, Roster(Token(1)), Health())
+    view = View(clock, facts, lambda: types, book, Roster(Token(1)), Health(bool))
     assert [want.warm_only for want in view.wants()] == [warm_only]
