A node that the state service refuses alone passes its users' requests to a peer

Ruled out: answering from memory (an answer that is not final rests on a fresh read), and staying ready (users do better at a node of their own).

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -61,7 +61,7 @@
     """One controller: all slices, wired together."""
 
     def __init__(self, reactor: Any, settings: Settings, operator: Operator) -> None:
-        from meadowcross.common.http import HttpClient, Router
+        from meadowcross.common.http import Answer, HttpClient, Router
         from meadowcross.common.types import Address, JobId, NodeName, Token
         from meadowcross.fleet.catalog import Catalog
         from meadowcross.fleet.cloud import Cloud
@@ -145,9 +145,12 @@
 
         visitors = Visitors(reactor, heard_window(facts.workers.report_s))
         self.election = Election(reactor, self.store, node, uuid.uuid4().hex, operator.hold_s, begin_term, end_term)
-        self.link = PeerLink(reactor, settings.peers, beat, own_progress, on_beat)
+        async def serve(operation: str, job: str, body: bytes) -> Answer:
+            return await api.serve(operation, job, body)
+
+        self.link = PeerLink(reactor, settings.peers, beat, own_progress, on_beat, serve)
         self.router = Router()
-        JobApi(
+        api = JobApi(
             reactor,
             self.store,
             facts.teams,
@@ -155,7 +158,9 @@
             self.catalog.types,
             progress,
             self.link.peer_has_store,
-        ).routes(self.router)
+            self.link.forward,
+        )
+        api.routes(self.router)
         WorkerApi(take_report, leader_name, visitors).routes(self.router)
 
     def start(self) -> None:
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -25,6 +25,8 @@
 TRIES = 3
 
 Progress = Callable[[JobId], Awaitable[tuple[int, int] | None]]
+Forward = Callable[[str, str, bytes], Awaitable[Answer | None]]
+"""A peer's answer to an operation, given the job's id where it is not in the body."""
 
 
 def answer_of(job: JobId, standing: m.Standing, done: int, running: int, status: int = 200) -> Answer:
@@ -71,6 +73,7 @@
         types: Callable[[], list[MachineType]],
         progress: Progress,
         peer_has_store: Callable[[], bool],
+        forward: Forward,
     ) -> None:
         self._clock = clock
         self._store = store
@@ -79,38 +82,68 @@
         self._types = types
         self._progress = progress
         self._peer_has_store = peer_has_store
+        self._forward = forward
         self._lookup = Lookup(clock, store)
         self._open_requests = 0
         self._chunk = max(1, store.max_value // 64)
 
     def routes(self, router: Router) -> None:
-        router.add("POST", r"/v1/jobs", self._guarded(self.submit))
-        router.add("GET", r"/v1/jobs/([^/]+)", self._guarded(self.query))
-        router.add("POST", r"/v1/jobs/([^/]+)/withdraw", self._guarded(self.cancel))
+        router.add("POST", r"/v1/jobs", self._guarded("submit"))
+        router.add("GET", r"/v1/jobs/([^/]+)", self._guarded("query"))
+        router.add("POST", r"/v1/jobs/([^/]+)/withdraw", self._guarded("cancel"))
         router.add("GET", r"/ready", self.ready)
 
-    def _guarded(self, handler: Callable[..., Awaitable[Answer]]) -> Callable[..., Awaitable[Answer]]:
+    def _guarded(self, operation: str) -> Callable[..., Awaitable[Answer]]:
         """Bounded work, and an immediate 503 where the store gives no answer."""
 
-        async def run(*arguments: object) -> Answer:
+        async def run(body: bytes, job: str = "") -> Answer:
             if self._open_requests >= MAX_OPEN_REQUESTS:
                 return reason(503, "too many requests are open", RETRY_AFTER_S)
             self._open_requests += 1
             try:
-                return await handler(*arguments)
-            except (Unavailable, Unknown, Refused) as error:
-                log.debug("request refused: %s", error)
-                return reason(503, "the state service gives no answer", RETRY_AFTER_S)
+                answer = None if self._alone() else await self.serve(operation, job, body)
+                if answer is None or (answer.status == 503 and self._alone()):
+                    return await self._elsewhere(operation, job, body)
+                return answer
             finally:
                 self._open_requests -= 1
 
         return run
 
+    def _alone(self) -> bool:
+        """Whether the state service gives no answer to this node only."""
+        return self._store.failing_since is not None and self._peer_has_store()
+
+    async def serve(self, operation: str, job: str, body: bytes) -> Answer:
+        """By this node itself, for its own users or a peer's."""
+        try:
+            match operation:
+                case "submit":
+                    return await self.submit(body)
+                case "query":
+                    return await self.query(job)
+                case "cancel":
+                    return await self.cancel(job)
+        except (Unavailable, Unknown, Refused) as error:
+            log.debug("request refused: %s", error)
+            return reason(503, "the state service gives no answer", RETRY_AFTER_S)
+        return reason(404, "no such operation")
+
+    async def _elsewhere(self, operation: str, job: str, body: bytes) -> Answer:
+        """Only this node is without the store: a peer answers, until the load balancer has
+        noticed. Whatever was begun here may be repeated there, as by a user's retry."""
+        try:
+            body.decode()
+        except UnicodeDecodeError as error:
+            return reason(400, str(error))
+        answer = await self._forward(operation, job, body)
+        return answer or reason(503, "the state service does not answer this node", RETRY_AFTER_S)
+
     def ready(self, body: bytes) -> Answer:
         if not self._types():
             return reason(503, "machine types are not known yet", RETRY_AFTER_S)
         failing = self._store.failing_since
-        if failing is not None and self._clock.seconds() - failing > 1.0 and self._peer_has_store():
+        if failing is not None and self._clock.seconds() - failing > 1.0 and self._alone():
             # Only this node is without the store: users do better elsewhere. In an outage
             # of all nodes it stays ready, and answers at once when to come back.
             return reason(503, "the state service does not answer this node", RETRY_AFTER_S)
@@ -163,12 +196,12 @@
         done = min(done, found.tasks - 1) if running == 0 else done
         return answer_of(job, m.Standing.RUNNING if running else m.Standing.PENDING, done, running)
 
-    async def query(self, body: bytes, job_text: str) -> Answer:
+    async def query(self, job_text: str) -> Answer:
         if not is_job_id(job_text):
             return reason(404, "no such job")
         return await self._known(JobId(job_text)) or reason(404, "no such job")
 
-    async def cancel(self, body: bytes, job_text: str) -> Answer:
+    async def cancel(self, job_text: str) -> Answer:
         job = JobId(job_text)
         if not is_job_id(job_text):
             return reason(404, "no such job")
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -41,7 +41,25 @@
     counts: dict[JobId, tuple[int, int]]
 
 
-Message = Beat | ProgressQuestion | ProgressAnswer
+class Forward(Struct, tag="forward", tag_field="kind"):
+    """A user's request that its node can't answer, as the state service refuses it alone."""
+
+    number: int
+    operation: str
+    job: str
+    body: str
+
+
+class Forwarded(Struct, tag="forwarded", tag_field="kind"):
+    """The answer, to be passed on as it is."""
+
+    number: int
+    status: int
+    body: str
+    retry_after: int | None = None
+
+
+Message = Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded
 
 encode = msgspec.json.Encoder().encode
 decode = msgspec.json.Decoder(Message).decode
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import msgspec
@@ -17,6 +17,7 @@
 from twisted.protocols.basic import NetstringReceiver
 
 from meadowcross.common.clock import Clock
+from meadowcross.common.http import Answer
 from meadowcross.common.logging import logger
 from meadowcross.common.settings import Peer
 from meadowcross.common.types import JobId, NodeName, Seconds, Token
@@ -27,15 +28,19 @@
 BEAT_S: Seconds = 1.0
 FRESH_S: Seconds = 3.0
 ANSWER_S: Seconds = 0.4
+FORWARD_S: Seconds = 1.5
 MAX_QUESTIONS = 256
 MAX_JOBS = 1_000
 """Of one question, so that its answer fits a netstring."""
 
 Counts = dict[JobId, tuple[int, int]]
+Serve = Callable[[str, str, bytes], Awaitable[Answer]]
+"""Answers a peer's user: the operation, the job's id where it is not in the body, the body."""
 
 
 class _Line(NetstringReceiver):
-    MAX_LENGTH = 64 * 1024
+    # A user's body of 64 KiB, escaped as text within JSON.
+    MAX_LENGTH = 256 * 1024
 
     def __init__(self, link: PeerLink) -> None:
         super().__init__()
@@ -98,15 +103,17 @@
         own_beat: Callable[[], m.Beat],
         progress_of: Callable[[JobId], tuple[int, int] | None],
         on_beat: Callable[[m.Beat], None],
+        serve: Serve,
     ) -> None:
         self._clock = clock
         self._peers = peers
         self._own_beat = own_beat
         self._progress_of = progress_of
         self._on_beat = on_beat
+        self._serve = serve
         self._lines: dict[NodeName, _Line] = {}
         self._beats: dict[NodeName, tuple[float, m.Beat]] = {}
-        self._questions: dict[int, Deferred[Counts]] = {}
+        self._questions: dict[int, Deferred[m.ProgressAnswer | m.Forwarded]] = {}
         self._asking: dict[JobId, list[Deferred[tuple[int, int] | None]]] = {}
         self._number = 0
 
@@ -140,10 +147,50 @@
         elif isinstance(message, m.ProgressQuestion):
             counts = {job: known for job in message.jobs if (known := self._progress_of(job)) is not None}
             line.send(m.ProgressAnswer(message.number, counts))
+        elif isinstance(message, m.Forward):
+            Deferred.fromCoroutine(self._serve_peer(line, message))
         else:
             waiting = self._questions.pop(message.number, None)
             if waiting is not None:
-                waiting.callback(message.counts)
+                waiting.callback(message)
+
+    async def _serve_peer(self, line: _Line, message: m.Forward) -> None:
+        try:
+            answer = await self._serve(message.operation, message.job, message.body.encode())
+        except Exception:
+            log.exception("a peer's request failed")
+            return
+        line.send(m.Forwarded(message.number, answer.status, answer.body.decode(), answer.retry_after))
+
+    async def _question(
+        self, line: _Line, make: Callable[[int], m.Message], timeout: Seconds
+    ) -> m.ProgressAnswer | m.Forwarded | None:
+        """Send a question under a number of its own and wait for its answer."""
+        if len(self._questions) >= MAX_QUESTIONS:
+            return None
+        self._number += 1
+        number = self._number
+        reply: Deferred[m.ProgressAnswer | m.Forwarded] = Deferred()
+        self._questions[number] = reply
+        line.send(make(number))
+        reply.addTimeout(timeout, self._clock)  # type: ignore[arg-type]
+        try:
+            return await reply
+        except DeferredTimeout:
+            return None
+        finally:
+            self._questions.pop(number, None)
+
+    async def forward(self, operation: str, job: str, body: bytes) -> Answer | None:
+        """The answer of a peer that the state service answers; None without one in time."""
+        line = next((self._lines[b.node] for b in self._fresh() if b.store_ok and b.node in self._lines), None)
+        if line is None:
+            return None
+        text = body.decode()
+        answer = await self._question(line, lambda number: m.Forward(number, operation, job, text), FORWARD_S)
+        if not isinstance(answer, m.Forwarded):
+            return None
+        return Answer(answer.status, answer.body.encode(), answer.retry_after)
 
     def _fresh(self) -> list[m.Beat]:
         now = self._clock.seconds()
@@ -176,19 +223,11 @@
         asking, self._asking = self._asking, {}
         counts: Counts = {}
         line = self._lines.get(leader)
-        if line is not None and len(self._questions) < MAX_QUESTIONS:
-            self._number += 1
-            number = self._number
-            reply: Deferred[Counts] = Deferred()
-            self._questions[number] = reply
-            line.send(m.ProgressQuestion(number, list(asking)[:MAX_JOBS]))
-            reply.addTimeout(ANSWER_S, self._clock)  # type: ignore[arg-type]
-            try:
-                counts = await reply
-            except DeferredTimeout:
-                log.debug("%s tells no counts", leader)
-            finally:
-                self._questions.pop(number, None)
+        if line is not None:
+            jobs = list(asking)[:MAX_JOBS]
+            reply = await self._question(line, lambda number: m.ProgressQuestion(number, jobs), ANSWER_S)
+            if isinstance(reply, m.ProgressAnswer):
+                counts = reply.counts
         for job, answers in asking.items():
             for answer in answers:
                 answer.callback(counts.get(job))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -101,12 +101,13 @@
         return self.term
 
     def api(self) -> JobApi:
-        async def progress(job_id: Any) -> None:
+        async def nothing(*arguments: Any) -> None:
             return None
 
         return JobApi(
-            self.clock, self.store, self.settings.facts.teams, ["east", "west"], lambda: self.types, progress, bool
-        )
+            self.clock, self.store, self.settings.facts.teams, ["east", "west"], lambda: self.types, nothing, bool,
+            nothing,
+        )  # fmt: skip
 
     def pass_time(self, seconds: float, step: float = 0.05) -> None:
         """Advance the clock; workers report every second while `reporting`."""
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -6,6 +6,10 @@
 
 import pytest
 
+from meadowcross.common.http import MAX_BODY, Answer
+from meadowcross.common.types import NodeName, Token
+from meadowcross.leadership.messages import Beat
+from meadowcross.leadership.peerlink import PeerLink, _Line
 from tests.conftest import job
 
 BAD = [
@@ -51,12 +55,12 @@
 
 
 def test_unknown_jobs_get_404_from_a_fresh_read_and_503_without_one(world):
-    assert world.run(world.api().query(b"", "wk-999999")).status == 404
-    assert world.run(world.api().query(b"", "what")).status == 404
+    assert world.run(world.api().query("wk-999999")).status == 404
+    assert world.run(world.api().query("what")).status == 404
     world.state.outage = True
     api = world.api()
-    for path, arguments in (("query", (b"", "wk-999999")), ("submit", (json.dumps(job()).encode(),))):
-        answer = world.run(api._guarded(getattr(api, path))(*arguments))
+    for operation, arguments in (("query", (b"", "wk-999999")), ("submit", (json.dumps(job()).encode(),))):
+        answer = world.run(api._guarded(operation)(*arguments))
         assert (answer.status, answer.retry_after) == (503, 1)
 
 
@@ -72,7 +76,7 @@
 def test_an_acceptance_without_an_answer_is_read_again(world, fault):
     world.net.faults.append(("state:1/multi", fault))
     api = world.api()
-    answer = world.run(api._guarded(api.submit)(json.dumps(job()).encode()))
+    answer = world.run(api._guarded("submit")(json.dumps(job()).encode()))
     assert answer.status == (200 if fault == "lose" else 503)
     world.net.deliver_late()
     # The late one applied: the retry is told so, and nothing is accepted twice.
@@ -84,11 +88,11 @@
     world.submit()
     if fault:
         world.net.faults.append(("state:1/multi", fault))
-    answer = world.run(world.api().cancel(b"", "wk-000001"))
+    answer = world.run(world.api().cancel("wk-000001"))
     assert json.loads(answer.body)["standing"] == "cancelled"
     assert all(status == 409 for status, _ in world.net.deliver_late())
     assert json.loads(world.submit().body)["standing"] == "cancelled"
-    assert json.loads(world.run(world.api().query(b"", "wk-000001")).body)["standing"] == "cancelled"
+    assert json.loads(world.run(world.api().query("wk-000001")).body)["standing"] == "cancelled"
 
 
 def test_cancel_of_a_job_that_is_done_says_done(world):
@@ -96,5 +100,98 @@
     world.state.transact(
         {"if": [], "writes": [{"drop": "j/wk-000001"}, {"write": "e/wk-000001", "data": {"s": "done", "n": 2}}]}
     )
-    assert json.loads(world.run(world.api().cancel(b"", "wk-000001")).body)["standing"] == "done"
-    assert world.run(world.api().cancel(b"", "wk-000002")).status == 404
+    assert json.loads(world.run(world.api().cancel("wk-000001")).body)["standing"] == "done"
+    assert world.run(world.api().cancel("wk-000002")).status == 404
+
+
+ELSEWHERE = [
+    # name, whether the store refuses this node, whether a peer has it, what a peer answers, status here
+    ("the store answers", False, True, None, 201),
+    ("only this node is refused", True, True, Answer(201, b"{}\n"), 201),
+    ("the peer refuses too, with a time to come back", True, True, Answer(503, b"{}\n", 1), 503),
+    ("the peer does not answer in time", True, True, None, 503),
+    ("no node has the store", True, False, Answer(201, b"{}\n"), 503),
+]
+
+
+@pytest.mark.parametrize(
+    ("refused", "peer", "theirs", "status"), [e[1:] for e in ELSEWHERE], ids=[e[0] for e in ELSEWHERE]
+)
+def test_a_node_that_the_store_refuses_alone_asks_a_peer(world, refused, peer, theirs, status):
+    asked = []
+
+    async def forward(operation, job_text, body):
+        asked.append((operation, json.loads(body)["id"]))
+        return theirs
+
+    api = world.api()
+    api._peer_has_store, api._forward = lambda: peer, forward
+    world.state.outage = refused
+    for again in (False, True):
+        answer = world.run(api._guarded("submit")(json.dumps(job()).encode()))
+        assert answer.status == (200 if again and not refused else status)
+        assert answer.retry_after == (1 if status == 503 else None)
+    assert asked == ([("submit", "wk-000001")] * 2 if refused and peer else [])
+    # What is no text can't be passed on, and is malformed anyway.
+    if refused and peer:
+        assert world.run(api._guarded("submit")(b"\xff")).status == 400
+
+
+class Wire:
+    """The transport between two nodes' ends of the peer link."""
+
+    def __init__(self):
+        self.other = None
+
+    def write(self, data):
+        self.other.dataReceived(data)
+
+    def writeSequence(self, parts):
+        self.write(b"".join(parts))
+
+    def setTcpNoDelay(self, on):
+        """Nothing to set."""
+
+
+def linked(world, serve, counts):
+    """Two peer links joined by a line; returns the asking one."""
+
+    def link(name, store_ok):
+        beat = Beat(NodeName(name), store_ok, Token(7) if store_ok else None, 5)
+        return PeerLink(world.clock, [], lambda: beat, counts.get, lambda beat: None, serve)
+
+    asking, asked = link("n0", False), link("n1", True)
+    ends = _Line(asking), _Line(asked)
+    ends[0].peer = NodeName("n1")
+    # The one that only answers first: the other speaks as soon as it is connected.
+    for end, other in (ends[::-1], ends):
+        wire = Wire()
+        wire.other = other
+        end.makeConnection(wire)
+    ends[1].send(asked._own_beat())
+    return asking
+
+
+def test_the_peer_link_passes_requests_on_and_gathers_questions_for_counts(world):
+    served = []
+
+    async def serve(operation, job_text, body):
+        served.append((operation, job_text, len(body)))
+        return Answer(503 if operation == "cancel" else 200, b'{"x":"\\u00e9"}\n', 1 if operation == "cancel" else None)
+
+    link = linked(world, serve, {"wk-000001": (3, 2)})
+    # The largest body that is taken, of characters that JSON escapes.
+    body = b'"' * MAX_BODY
+    assert world.run(link.forward("submit", "", body)) == Answer(200, b'{"x":"\\u00e9"}\n')
+    assert world.run(link.forward("cancel", "wk-000001", b"")).retry_after == 1
+    assert served == [("submit", "", MAX_BODY), ("cancel", "wk-000001", 0)]
+    assert (link.peer_has_store(), link.most_heard(), link.leading()) == (True, 5, ("n1", 7))
+    answers = []
+    for name in ("wk-000001", "wk-000002", "wk-000001"):
+        link.ask_progress(NodeName("n1"), name).addCallback(answers.append)
+    world.pass_time(0.1)
+    assert answers == [(3, 2), (3, 2), None] and link._number == 3
+    # A peer that has fallen silent is asked no more.
+    world.clock.advance(10.0)
+    assert world.run(link.forward("query", "wk-000001", b"")) is None
+    assert (link.peer_has_store(), link.most_heard(), link.leading()) == (False, None, None)
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -103,7 +103,7 @@
     world.state.outage = True
     answers = []
     for number in range(1, 20):
-        work = api._guarded(api.query)(b"", f"wk-{number:06d}")
+        work = api._guarded("query")(b"", f"wk-{number:06d}")
         Deferred.fromCoroutine(work).addBoth(answers.append)
     world.pass_time(0.3)
     assert {(a.status, a.retry_after) for a in answers} == {(503, 1)} and len(answers) == 19
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -108,7 +108,7 @@
     world.submit()
     world.pass_time(5.0)
     assert len(world.running()) == 2
-    world.run(world.api().cancel(b"", "wk-000001"))
+    world.run(world.api().cancel("wk-000001"))
     world.pass_time(2.0)
     assert world.running() == [] and world.state.value("e/wk-000001")["s"] == "cancelled"
 
@@ -120,7 +120,7 @@
     (worker,) = [w for w in world.workers.values() if w.tasks]
     address = worker.machine["addr"]
     del world.net.hosts[address]
-    world.run(world.api().cancel(b"", "wk-000001"))
+    world.run(world.api().cancel("wk-000001"))
     world.reporting = False
     world.pass_time(30.0, 0.25)
     assert worker.machine["id"] in world.cloud.deleted
@@ -135,7 +135,7 @@
         for key in list(worker.tasks):
             worker.end(key)
     # The leader has not heard yet: the cancel is first, and stays.
-    answer = world.run(world.api().cancel(b"", "wk-000001"), 0.5)
+    answer = world.run(world.api().cancel("wk-000001"), 0.5)
     assert json.loads(answer.body)["standing"] == "cancelled"
     world.pass_time(3.0)
     assert world.state.value("e/wk-000001")["s"] == "cancelled"
@@ -251,7 +251,7 @@
     world.submit(heads=1)
     world.pass_time(5.0)
     monkeypatch.setattr(Worker, "obey", lambda worker, calls: None)
-    world.run(world.api().cancel(b"", "wk-000001"))
+    world.run(world.api().cancel("wk-000001"))
     world.pass_time(25.0, 0.25)
     assert world.running() == [] and len(world.cloud.deleted) >= 1
     assert world.state.value("e/wk-000001")["s"] == "cancelled"
