Boot times as seen: late machines are rented for again; what has just come up counts as coming

A machine that had reported but not yet returned our token counted neither as free nor as coming, so that another was rented beside each.

Ruled out: telling late from lost by the list (both are "booting" there), so giving up stays at three boots, or three times what was lately seen.

--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
@@ -14,6 +15,7 @@
 from meadowcross.common.settings import Operator, Settings
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds, Token
 from meadowcross.fleet import messages as m
+from meadowcross.fleet.boots import Boots
 from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from meadowcross.fleet.sizing import (
     MIN_CHARGE_S,
@@ -40,7 +42,6 @@
 NEW_WORK_S: Seconds = 0.1
 RENT_PAUSE = 9.0
 CLOSED_S: Seconds = 12.0
-BOOT_PATIENCE = 3.0
 MAX_DELETED = 5_000
 LIST_FACTOR = 1.5
 
@@ -51,6 +52,7 @@
     def wants(self) -> list[Want]: ...
     def rooms(self) -> dict[str, Room]: ...
     def offerable(self, machine: Machine) -> bool: ...
+    def arriving(self, machine: Machine) -> bool: ...
     def silence(self, machine: Machine) -> Seconds: ...
     def silent(self, machine: Machine) -> bool: ...
 
@@ -100,6 +102,7 @@
         self._pressed_at = 0.0
         self._needs: list[Need] = []
         self._dear: set[MachineKind] = set()
+        self._boots = Boots()
         self._listing = False
         self._began = Instant(clock.seconds())
         self._rent_from = self._began
@@ -126,6 +129,11 @@
     def is_deleted(self, machine: MachineId) -> bool:
         return machine in self._deleted
 
+    def came_up(self, machine: Machine) -> None:
+        """It reports for the first time to any leader."""
+        if machine.type is not None:
+            self._boots.came_up(machine.type, self.now - machine.rented_at, self.now)
+
     def condemn(self, machine: Machine, why: str) -> None:
         """Take it out of use for good; deleting it proves what was there gone."""
         if machine.condemned is None:
@@ -219,9 +227,9 @@
                 if now - max(self._began, machine.known_at) > self._facts.workers.lease_s:
                     self.condemn(machine, "silent since it is known to this term")
             else:
-                boot = machine.type.boot_s if machine.type else 60.0
+                patience_s = self._boots.patience(machine.type, now) if machine.type else 180.0
                 waited = now - max(machine.rented_at, Instant(0.0))
-                if waited > BOOT_PATIENCE * boot + 2 * self._facts.cloud.list_lag_s and now - self._began > 10.0:
+                if waited > patience_s + 2 * self._facts.cloud.list_lag_s and now - self._began > 10.0:
                     self.condemn(machine, f"not up {waited:.0f} s after its rental")
 
     def _delete_condemned(self) -> None:
@@ -278,7 +286,7 @@
 
     def _keep_s(self, machine: Machine) -> Seconds:
         """An idle machine may cost as much as the boot that returning it may bring."""
-        boot = machine.type.boot_s if machine.type is not None else 0.0
+        boot = self._boots.expected(machine.type, self.now) if machine.type is not None else 0.0
         return self._operator.idle_keep_boots * boot
 
     def _drain(self) -> None:
@@ -337,8 +345,8 @@
         self._rent_took = self.now - began
 
     def _rent(self) -> None:
-        types = {t.name: t for t in self._types()}
         now = self.now
+        types = {t.name: replace(t, boot_s=self._boots.expected(t, now)) for t in self._types()}
         if not types or not self._needs or now < self._rent_from:
             return
         closed = {kind for kind, until in self._closed.items() if until > now}
@@ -369,7 +377,10 @@
         for machine in self._leader.roster.machines.values():
             if machine.condemned is not None or machine.type is None:
                 continue
-            if not machine.up or self._leader.view.offerable(machine):
+            if not machine.up and self._boots.late(machine.type, now - machine.rented_at, now):
+                # It may still come, but what is rented now is likely to be there sooner.
+                continue
+            if not machine.up or self._leader.view.arriving(machine) or self._leader.view.offerable(machine):
                 coming.append(
                     Coming(
                         machine.kind,
@@ -386,7 +397,7 @@
                     if job is None or placement.phase is not Phase.RUNNING or placement.running_at is None:
                         continue
                     left = self._leader.book.expected_run(job.spec) - (now - placement.running_at)
-                    if left < machine.type.boot_s * 0.5:
+                    if left < types[machine.type.name].boot_s * 0.5:
                         freed.cpus += job.spec.cpus
                         freed.gpus += job.spec.gpus
                         freed.memory_gb += job.spec.memory_gb
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -302,6 +302,8 @@
         outcomes = self.roster.apply(machine, report, self.now)
         if machine.addr != had_addr or not machine.stored:
             self.store_machine(machine)
+        if first and machine.up and had_addr is None:
+            self.fleet.came_up(machine)
         if first and machine.up:
             log.info("machine %s (%s) reports first", machine.id, machine.kind.type)
         if machine.version.session > session > 0:
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -95,6 +95,17 @@
             and not self._health.suspect(machine.id)
         )
 
+    def arriving(self, machine: Machine) -> bool:
+        """It reports, but our token has not come back yet, or its record is not stored: it will
+        be offered in a moment. Left out of what is coming, each new machine had another
+        rented beside it."""
+        return (
+            not (machine.confirmed and machine.stored)
+            and machine.taken_at is None
+            and not machine.draining
+            and not self.silent(machine)
+        )
+
     def offers(self) -> list[Offer]:
         heard_since = self._heard_since()
         return [
--- /dev/null
+++ b/tests/test_boots.py
@@ -0,0 +1,59 @@
+"""Boot times as stated and as seen: late, at once, and what follows for waiting."""
+
+from __future__ import annotations
+
+import pytest
+
+from meadowcross.fleet.boots import Boots
+from meadowcross.fleet.messages import decode_types, encode
+from tests.standins import TYPES
+
+SMALL, LARGE = decode_types(encode({"builds": [dict(t, readyS=40.0) for t in TYPES]})).types
+
+CASES = [
+    # name, boots seen a moment ago, expected, late after, given up after
+    ("as stated while few were seen", [200.0] * 4, 40.0, 60.0, 120.0),
+    ("as seen", [30.0, 40.0, 35.0, 45.0, 40.0], 40.0, 60.0, 120.0),
+    ("late", [150.0, 160.0, 170.0, 40.0, 160.0], 160.0, 240.0, 480.0),
+    ("at once, but what was rented before may still come", [2.0] * 9, 2.0, 3.0, 120.0),
+]
+
+
+@pytest.mark.parametrize(
+    ("seen", "expected", "late", "given_up"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
+)
+def test_boots(seen, expected, late, given_up):
+    boots = Boots()
+    for took in seen:
+        boots.came_up(SMALL, took, 1000.0)
+    now = 1010.0
+    assert boots.expected(SMALL, now) == expected
+    assert [boots.late(SMALL, late + by, now) for by in (-0.1, 0.1)] == [False, True]
+    assert boots.patience(SMALL, now) == given_up
+    # Other types, and times long past, say nothing.
+    assert boots.expected(LARGE, now) == 40.0 and boots.expected(SMALL, 1200.0) == 40.0
+
+
+def test_what_waits_for_a_late_machine_is_rented_for_again(world):
+    """A machine that has not come up in time is no room on its way, but is not given up yet."""
+    original = world.cloud.on_rent
+    world.cloud.on_rent = lambda machine: machine.update(standing="booting", addr=None)
+    world.lead()
+    world.submit(heads=1)
+    world.pass_time(1.2, 0.1)
+    assert len(world.cloud.machines) == 1
+    world.cloud.on_rent = original
+    world.pass_time(4.0)
+    assert len(world.running()) == 1 and len(world.cloud.machines) == 2
+    assert world.cloud.deleted == []
+
+
+def test_machines_that_have_just_come_up_are_room_on_its_way(world):
+    """Nothing is rented beside them while our token has not come back from them yet."""
+    world.cloud.at_once = 50
+    world.lead()
+    for number in range(6):
+        world.submit(id=f"wk-00000{number}", heads=10, cpus=4.0, builds=["small"], pullGb=0.1)
+        world.pass_time(1.3, 0.05)
+    world.pass_time(4.0)
+    assert len(world.running()) == 60 and len(world.cloud.machines) == 60
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -207,7 +207,7 @@
 
 def test_a_machine_that_fails_what_succeeds_elsewhere_is_deleted(world):
     world.lead()
-    world.submit(heads=8, memoryGb=8.0)
+    world.submit(heads=8, memoryGb=8.0, builds=["small"])
     world.pass_time(6.0)
     bad = next(w for w in world.workers.values() if w.tasks)
     for key in list(bad.tasks):
