--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -558,7 +558,7 @@
                 log.info("job %s: %d tasks give way", job, len(victims))
                 for victim in victims:
                     if isinstance(victim.key, Placement):
-                        self.stop_task(victim.key, 0.0)
+                        self.stop_task(victim.key, victim.grace)
             if any(want.warm_only for want in wants):
                 # Soon free room without their image is good enough for them.
                 self._clock.callLater(WARM_AGAIN_S, self.kick)
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -232,6 +232,7 @@
                         spec.memory_gb,
                         lost * spec.cpus,
                         spec.team,
+                        save_s=spec.save_s if saved > 0 else None,
                     )
                 )
         mark_borrowed(victims, over)
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -33,6 +33,7 @@
 HOLD_TIMES = 10.0
 """Ends of a tenth of what runs on the machines held are waited for: a few seconds."""
 HOLD_LEAST = 4.0
+SAVE_TIMES = 2.0
 LOWEST_RANK = max(RANK.values())
 
 
@@ -51,6 +52,10 @@
     team: str = ""
     borrowed: bool = False
     """Its team uses more than its guarantee, this task's share of it included."""
+    save_s: Seconds | None = None
+    """The time it takes to save; None: what it has done is lost."""
+    grace: Seconds = 0.0
+    """The time it is given for that, once chosen."""
 
 
 def yields(victim: Victim, want: Want) -> bool:
@@ -179,6 +184,17 @@
     )
 
 
+def savers(want: Want, victims: Iterable[Victim]) -> list[Victim]:
+    """What another team runs beyond its guarantee and can save, for work of the same priority
+    within one. It loses nothing, so nothing is gained by waiting until the slack is short:
+    idle-time work of a guest that filled all room made a third of the others' jobs late."""
+    return [
+        replace(victim, grace=SAVE_TIMES * victim.save_s + 1.0)
+        for victim in victims
+        if victim.save_s is not None and victim.borrowed and victim.rank == want.rank and yields(victim, want)
+    ]
+
+
 def room_by_ends(
     want: Want, short: int, offers: Iterable[Offer], victims: Iterable[Victim], holds: Mapping[MachineId, Hold]
 ) -> list[MachineId]:
@@ -261,7 +277,9 @@
                 continue
             if victims is None:
                 victims = victims_now()
-            if not in_hurry(want, victims, self._prompt):
+            hurry = in_hurry(want, victims, self._prompt)
+            chosen = [] if hurry else self._victims_for(want, short, offers, savers(want, victims))
+            if not hurry and not chosen:
                 # What waits without harm lets the others keep what they have done.
                 if not any(v.rank > want.rank and v.cpus < want.spec.cpus for v in victims):
                     continue
@@ -269,10 +287,10 @@
                 if machines:
                     self.holds.update((name, Hold(want.job, want.rank)) for name in machines)
                     continue
-            chosen = self._victims_for(want, short, offers, victims)
+            chosen = chosen or self._victims_for(want, short, offers, victims)
             if chosen:
-                taken = {id(victim) for victim in chosen}
-                victims = [v for v in victims if id(v) not in taken]
+                taken = {victim.key for victim in chosen}
+                victims = [v for v in victims if v.key not in taken]
                 self._under_way.add(want.job)
                 self._asked[want.job] = Asked(now, want.count, [v.key for v in chosen])
                 chosen_for.append((want.job, chosen))
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -11,8 +11,8 @@
 from tests.test_engine import offer, rooms, want
 
 
-def victim(key="v", machine="m", rank=3, cpus=1.0, team="b", borrowed=False, loss=1.0):
-    return Victim(key, MachineId(machine), rank, cpus, 0.0, 2.0, loss, team, borrowed)
+def victim(key="v", machine="m", rank=3, cpus=1.0, team="b", borrowed=False, loss=1.0, save_s=None):
+    return Victim(key, MachineId(machine), rank, cpus, 0.0, 2.0, loss, team, borrowed, save_s)
 
 
 HURRY = [
@@ -90,3 +90,28 @@
     victims = [victim("w", "warm", loss=9.0), victim("c", "cold-too", loss=0.0)]
     chosen = giving.choose([prompt], {prompt.job: 1}, offers, rooms(), lambda: victims, lambda key: True, Instant(1.0))
     assert [v.key for _, group in chosen for v in group] == ["w"]
+
+
+LENDERS = [
+    # name, victim's changes, slack, tasks within the guarantee, the grace it is stopped with
+    ("it can save: at once, with time for that", {"save_s": 3.0}, 100.0, 1, [7.0]),
+    ("and without, where the slack is short", {"save_s": 3.0}, 10.0, 1, [0.0]),
+    ("its work would be lost: only when the slack is short", {}, 100.0, 1, []),
+    ("not to borrow as well", {"save_s": 3.0}, 100.0, 0, []),
+    ("not what is within its own guarantee", {"save_s": 3.0, "borrowed": False}, 100.0, 1, []),
+    ("not higher priority", {"save_s": 3.0, "rank": 2}, 100.0, 1, []),
+]
+
+
+@pytest.mark.parametrize(
+    ("changes", "slack", "guaranteed", "graces"), [c[1:] for c in LENDERS], ids=[c[0] for c in LENDERS]
+)
+def test_what_a_guest_borrows_and_can_save_gives_way_to_a_guarantee_at_once(changes, slack, guaranteed, graces):
+    giving = GivingWay(set(), Operator())
+    waiting = want(heads=1, rank=3, slack=slack)
+    waiting.run_s, waiting.guaranteed = 30.0, guaranteed
+    running = victim(**{"team": "guest", "borrowed": True, **changes})
+    chosen = giving.choose(
+        [waiting], {}, [offer("m", cpus=0.0)], rooms(), lambda: [running], lambda key: True, Instant(1.0)
+    )
+    assert [v.grace for _, group in chosen for v in group] == graces
