--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -44,6 +44,8 @@
 CLOSED_S: Seconds = 12.0
 MAX_DELETED = 5_000
 LIST_FACTOR = 1.5
+DEAD_LISTED_S: Seconds = 30.0
+"""The protocol lists a dead machine as running for about so long."""
 
 
 class View(Protocol):
@@ -206,11 +208,13 @@
         now = self.now
         view = self._leader.view
         heard = [x for x in self._leader.roster.machines.values() if x.up]
-        # Many at once: more likely it is us who are cut off, so wait out the lease. Counted as
+        # Many at once: more likely they or we are cut off, so wait until the list must have told
+        # that they are dead: a fleet is sooner back from a cut than booted anew. Counted as
         # soon as silence shows, or those silent first would be given up before the others.
         quiet = [x for x in heard if view.silent(x)]
         many = len(quiet) > 2 and len(quiet) * 2 > len(heard)
-        patience = self._facts.workers.lease_s if many else self._operator.silent_s
+        told = DEAD_LISTED_S + 2 * LIST_FACTOR * self._facts.cloud.list_lag_s
+        patience = told if many else self._operator.silent_s
         for machine in list(self._leader.roster.machines.values()):
             if machine.condemned is not None:
                 continue
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -98,3 +98,15 @@
     world.state.outage = False
     world.pass_time(30.0, 0.5)
     assert world.cloud.deleted
+
+
+@pytest.mark.parametrize(("silent_for", "given_up"), [(30.0, False), (45.0, True)])
+def test_most_machines_silent_at_once_are_given_up_only_after_the_list_must_have_told(world, silent_for, given_up):
+    """A zone that is cut off comes back with its machines; they take longer to boot anew."""
+    term = busy(world)
+    world.pass_time(5.0, 0.25)
+    for worker in world.workers.values():
+        del world.net.hosts[worker.machine["addr"]]
+    world.reporting = False
+    world.pass_time(silent_for, 0.5)
+    assert bool(world.cloud.deleted) is given_up and not term.stopped
