A storm of questions keeps nobody from submitting: open requests are bounded by kind

Cause: questions and submissions shared one bound of open requests.

Conclusion: kept for what it guards, each refusal immediate as before.

--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -84,7 +85,7 @@
         self._peer_has_store = peer_has_store
         self._forward = forward
         self._lookup = Lookup(clock, store)
-        self._open_requests = 0
+        self._open = Counter[str]()
         self._chunk = max(1, store.max_value // 64)
 
     def routes(self, router: Router) -> None:
@@ -97,16 +98,17 @@
         """Bounded work, and an immediate 503 where the store gives no answer."""
 
         async def run(body: bytes, job: str = "") -> Answer:
-            if self._open_requests >= MAX_OPEN_REQUESTS:
+            # By operation, so that a storm of questions keeps nobody from submitting.
+            if self._open[operation] >= MAX_OPEN_REQUESTS:
                 return reason(503, "too many requests are open", RETRY_AFTER_S)
-            self._open_requests += 1
+            self._open[operation] += 1
             try:
                 answer = None if self._alone() else await self.serve(operation, job, body)
                 if answer is None or (answer.status == 503 and self._alone()):
                     return await self._elsewhere(operation, job, body)
                 return answer
             finally:
-                self._open_requests -= 1
+                self._open[operation] -= 1
 
         return run
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -5,9 +5,11 @@
 import json
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from meadowcross.common.http import MAX_BODY, Answer
 from meadowcross.common.types import NodeName, Token
+from meadowcross.jobs.api import MAX_OPEN_REQUESTS
 from meadowcross.leadership.messages import Beat
 from meadowcross.leadership.peerlink import PeerLink, _Line
 from tests.conftest import job
@@ -195,3 +197,19 @@
     world.clock.advance(10.0)
     assert world.run(link.forward("query", "wk-000001", b"")) is None
     assert (link.peer_has_store(), link.most_heard(), link.leading()) == (False, None, None)
+
+
+def test_a_storm_of_questions_is_refused_at_once_and_keeps_nobody_from_submitting(world):
+    api = world.api()
+    answers = []
+    for number in range(MAX_OPEN_REQUESTS + 50):
+        Deferred.fromCoroutine(api._guarded("query")(b"", f"wk-{number:06d}")).addCallback(answers.append)
+    assert [(a.status, a.retry_after) for a in answers] == [(503, 1)] * 50
+    submitted = []
+    work = api._guarded("submit")(json.dumps(job()).encode())
+    Deferred.fromCoroutine(work).addCallback(submitted.append)
+    world.pass_time(5.0)
+    assert submitted[0].status == 201
+    assert [a.status for a in answers].count(404) >= MAX_OPEN_REQUESTS - 1
+    # All that was open is closed again.
+    assert world.run(api._guarded("query")(b"", "wk-000001")).status == 200 and not +api._open
