--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -15,11 +15,11 @@
 from meadowcross.common.settings import Operator, Settings
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds, Token
 from meadowcross.fleet import messages as m
+from meadowcross.fleet.arrivals import Offers, room_coming
 from meadowcross.fleet.boots import Boots
 from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from meadowcross.fleet.sizing import (
     MIN_CHARGE_S,
-    Coming,
     Held,
     Need,
     Rental,
@@ -29,7 +29,7 @@
     price_of,
     surplus,
 )
-from meadowcross.jobs.book import Book, Phase, Placement
+from meadowcross.jobs.book import Book, Placement
 from meadowcross.placement.engine import Room, Want, order
 from meadowcross.workers.commands import Sender
 from meadowcross.workers.departures import moving_off
@@ -48,13 +48,11 @@
 """The protocol lists a dead machine as running for about so long."""
 
 
-class View(Protocol):
+class View(Offers, Protocol):
     """What the fleet sees of the work at hand."""
 
     def wants(self) -> list[Want]: ...
     def rooms(self) -> dict[str, Room]: ...
-    def offerable(self, machine: Machine) -> bool: ...
-    def arriving(self, machine: Machine) -> bool: ...
     def silence(self, machine: Machine) -> Seconds: ...
     def silent(self, machine: Machine) -> bool: ...
 
@@ -354,7 +352,11 @@
         if not types or not self._needs or now < self._rent_from:
             return
         closed = {kind for kind, until in self._closed.items() if until > now}
-        for kind, machines in plan(self._needs, self._coming(types), types, closed, self._dear):
+        leader = self._leader
+        coming = room_coming(
+            self._renting.values(), leader.roster, leader.book, leader.view, self._boots, types, now
+        )
+        for kind, machines in plan(self._needs, coming, types, closed, self._dear):
             # As many requests at once as it takes: the cloud's rate spaces them.
             for first in range(0, machines, m.MAX_RENT):
                 self._counter += 1
@@ -364,49 +366,6 @@
                 self._renting[request] = rental
                 Deferred.fromCoroutine(self._rent_one(request, rental))
 
-    def _coming(self, types: dict[str, m.MachineType]) -> list[Coming]:
-        """Room that will be there soon without renting more."""
-        coming = []
-        for rental in self._renting.values():
-            kind = types[rental.kind.type]
-            coming.append(
-                Coming(
-                    rental.kind,
-                    kind.cpus * rental.machines,
-                    kind.gpus * rental.machines,
-                    kind.memory_gb * rental.machines,
-                )
-            )
-        now = self.now
-        for machine in self._leader.roster.machines.values():
-            if machine.condemned is not None or machine.type is None:
-                continue
-            if not machine.up and self._boots.late(machine.type, now - machine.rented_at, now):
-                # It may still come, but what is rented now is likely to be there sooner.
-                continue
-            if not machine.up or self._leader.view.arriving(machine) or self._leader.view.offerable(machine):
-                coming.append(
-                    Coming(
-                        machine.kind,
-                        machine.type.cpus - machine.cpus,
-                        machine.type.gpus - machine.gpus,
-                        machine.type.memory_gb - machine.memory_gb,
-                    )
-                )
-                if not machine.up:
-                    continue
-                freed = coming[-1]
-                for placement in machine.placements.values():
-                    job = self._leader.book.jobs.get(placement.task.job)
-                    if job is None or placement.phase is not Phase.RUNNING or placement.running_at is None:
-                        continue
-                    left = self._leader.book.expected_run(job.spec) - (now - placement.running_at)
-                    if left < types[machine.type.name].boot_s * 0.5:
-                        freed.cpus += job.spec.cpus
-                        freed.gpus += job.spec.gpus
-                        freed.memory_gb += job.spec.memory_gb
-        return coming
-
     def _open(self, kind: MachineKind) -> bool:
         return self._tick.running and self._closed.get(kind, 0.0) <= self.now
 
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -33,6 +33,7 @@
 from meadowcross.jobs import messages as jm
 from meadowcross.jobs.book import Book, Job, Phase, Placement
 from meadowcross.jobs.keeper import Keeper
+from meadowcross.leadership.election import Election
 from meadowcross.leadership.messages import LEADER_KEY
 from meadowcross.leadership.view import View
 from meadowcross.placement.engine import Choice, place
@@ -43,7 +44,7 @@
 from meadowcross.store.client import Refused, StoreClient, Unavailable, Unknown, WatchTooOld
 from meadowcross.store.commit import Built, Committer
 from meadowcross.workers import messages as wm
-from meadowcross.workers.commands import Sender
+from meadowcross.workers.commands import Sender, commands_for
 from meadowcross.workers.departures import late_cancels, leaving
 from meadowcross.workers.health import Health
 from meadowcross.workers.roster import Change, HigherToken, Machine, Outcome, Roster
@@ -61,14 +62,6 @@
 BAD_MACHINE = "it failed what fares well elsewhere"
 
 
-class Office(Protocol):
-    """What a term asks of the election that it comes from."""
-
-    def sure(self) -> bool: ...
-    def stand_down(self, why: str) -> None: ...
-    def hand_over(self, why: str) -> None: ...
-
-
 class Term:
     def __init__(
         self,
@@ -80,7 +73,7 @@
         cloud: Cloud,
         types: Callable[[], list[fm.MachineType]],
         token: Token,
-        office: Office,
+        election: Election,
         most_heard: Callable[[], int | None],
     ) -> None:
         self._clock: Clock = reactor
@@ -88,7 +81,7 @@
         self._operator = operator
         self._store = store
         self._types = types
-        self._office = office
+        self._election = election
         self._most_heard = most_heard
         self.token = token
         self.book = Book()
@@ -120,7 +113,7 @@
 
     def sure(self) -> bool:
         """Whether no other node can lead now."""
-        return self._office.sure()
+        return self._election.sure()
 
     def start(self) -> None:
         for work in (self._load_and_watch(), self.committer.run()):
@@ -128,7 +121,7 @@
 
     def _crashed(self, failure: Any) -> None:
         log.error("term %d failed: %s", self.token, failure.getTraceback())
-        self._office.stand_down("internal error")
+        self._election.stand_down("internal error")
 
     def stop(self) -> None:
         if self._stopped:
@@ -278,11 +271,11 @@
         try:
             newest = self._take(report)
         except HigherToken as error:
-            self._office.stand_down(str(error))
+            self._election.stand_down(str(error))
             return None
         machine = self.roster.machines[report.machine]
         machine.reported_at = self.now
-        return wm.Response(self.token, self._commands_for(machine) if newest else [])
+        return wm.Response(self.token, commands_for(machine, self.book) if newest else [])
 
     def _on_direct_report(self, report: wm.Report) -> None:
         if self._stopped or report.machine not in self.roster.machines:
@@ -290,7 +283,7 @@
         try:
             self._take(report)
         except HigherToken as error:
-            self._office.stand_down(str(error))
+            self._election.stand_down(str(error))
 
     def _take(self, report: wm.Report) -> bool:
         machine = self.add_machine(report.machine, MachineKind(report.type, report.zone, report.spot))
@@ -355,28 +348,6 @@
             if machine is not None:
                 self.fleet.condemn(machine, why)
 
-    def _commands_for(self, machine: Machine) -> list[wm.Command]:
-        """What the response to a newest report tells the worker."""
-        commands: list[wm.Command] = []
-        for placement in machine.placements.values():
-            if placement.stop_at is not None and placement.started:
-                commands.append(wm.Command("stop", str(placement.task), placement.attempt, placement.grace))
-        for stray in machine.strays:
-            log.info("task %s attempt %d on %s has no record: stopped", stray.task, stray.attempt, machine.id)
-            commands.append(wm.Command("stop", stray.task, stray.attempt, 0.0))
-        for task in machine.exited:
-            if self._may_reap(task):
-                commands.append(wm.Command("reap", task.task, task.attempt))
-        return commands
-
-    def _may_reap(self, task: wm.TaskReport) -> bool:
-        """An exited task may leave the worker once what it proves is stored."""
-        job_text, _, index = task.task.rpartition("/")
-        job = self.book.jobs.get(JobId(job_text))
-        if job is None or task.why != wm.DONE:
-            return True
-        return int(index) in job.stored_done or job.cancelled is not None or not job.done[int(index)]
-
     def _clear(self, job: Job) -> None:
         """A cancelled job: stop what runs, forget what was never sent."""
         now = self.now
@@ -461,7 +432,7 @@
                 return
             if key == LEADER_KEY:
                 if item is None or item.mark != self._leader_condition.mark:
-                    self._office.stand_down("the leader key is no longer ours")
+                    self._election.stand_down("the leader key is no longer ours")
                     return
             elif key.startswith(jm.CHUNKS):
                 job_id, chunk = jm.parse_chunk_key(key)
@@ -511,7 +482,7 @@
             return
         reach = self.view.reach(self._most_heard())
         if reach.better_elsewhere:
-            self._office.hand_over(f"{reach.reported} of {reach.known} machines report, a peer hears {reach.peers}")
+            self._election.hand_over(f"{reach.reported} of {reach.known} machines report, a peer hears {reach.peers}")
 
     def _clear_late_cancels(self) -> None:
         patience = CANCEL_SHARE * self._settings.facts.workers.cancel_s
--- a/meadowcross/workers/commands.py
+++ b/meadowcross/workers/commands.py
@@ -1,4 +1,5 @@
-"""Direct commands: one request at a time for each worker, every outcome told apart."""
+"""Commands: in the response to a report, and direct, one request at a time for each worker,
+every outcome told apart."""
 
 from __future__ import annotations
 
@@ -10,8 +11,8 @@
 from meadowcross.common.clock import Clock
 from meadowcross.common.http import HttpClient, NotSent, Unanswered
 from meadowcross.common.logging import logger
-from meadowcross.common.types import Instant, MachineId, Seconds, Token
-from meadowcross.jobs.book import Phase, Placement
+from meadowcross.common.types import Instant, MachineId, Seconds, TaskId, Token
+from meadowcross.jobs.book import Book, Phase, Placement
 from meadowcross.workers import messages as m
 from meadowcross.workers.roster import Machine, Roster, Start
 
@@ -24,6 +25,29 @@
 of a core from renewing its hold, and the next one started anew."""
 
 
+def commands_for(machine: Machine, book: Book) -> list[m.Command]:
+    """What the response to a newest report tells the worker."""
+    commands = [
+        m.Command("stop", str(placement.task), placement.attempt, placement.grace)
+        for placement in machine.placements.values()
+        if placement.stop_at is not None and placement.started
+    ]
+    for stray in machine.strays:
+        log.info("task %s attempt %d on %s has no record: stopped", stray.task, stray.attempt, machine.id)
+        commands.append(m.Command("stop", stray.task, stray.attempt, 0.0))
+    commands += [m.Command("reap", task.task, task.attempt) for task in machine.exited if _may_reap(task, book)]
+    return commands
+
+
+def _may_reap(task: m.TaskReport, book: Book) -> bool:
+    """An exited task may leave the worker once what it proves is stored."""
+    name = TaskId.parse(task.task)
+    job = book.jobs.get(name.job)
+    if job is None or task.why != m.DONE:
+        return True
+    return name.number in job.stored_done or job.cancelled is not None or not job.done[name.number]
+
+
 class Sender:
     """Queues starts and stops per machine and sends them in batches."""
 
