--- a/meadowcross/fleet/arrivals.py
+++ b/meadowcross/fleet/arrivals.py
@@ -37,11 +37,17 @@
     for rental in renting:
         kind, count = types[rental.kind.type], rental.machines
         coming.append(Coming(rental.kind, kind.cpus * count, kind.gpus * count, kind.memory_gb * count))
-    for machine in roster.machines.values():
+    there = [x for x in roster.machines.values() if x.condemned is None]
+    waiting: dict[str, list[Seconds]] = {name: [] for name in types}
+    for machine in there:
+        if not machine.up and machine.type is not None:
+            waiting[machine.type.name].append(now - machine.rented_at)
+    late_after = {name: boots.late_after(kind, waiting[name], now) for name, kind in types.items()}
+    for machine in there:
         kind_of = machine.type
-        if machine.condemned is not None or kind_of is None:
+        if kind_of is None:
             continue
-        if not machine.up and boots.late(kind_of, now - machine.rented_at, now):
+        if not machine.up and now - machine.rented_at > late_after[kind_of.name]:
             # It may still come, but what is rented now is likely to be there sooner.
             continue
         if not machine.up or offers.arriving(machine) or offers.offerable(machine):
--- a/meadowcross/fleet/boots.py
+++ b/meadowcross/fleet/boots.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Sequence
+from math import inf
 from statistics import median
 
 from meadowcross.common.types import Instant, Seconds
@@ -14,9 +16,10 @@
 
 LATELY_S: Seconds = 120.0
 ENOUGH = 5
-MOST = 15
+MOST = 300
 LATE_TIMES = 1.5
-"""A tenth of all boots take longer than this: what waits then counts on other machines."""
+ORDINARY_LATE = 0.25
+"""On ordinary days a tenth of all boots take longer than that, and come all the same."""
 GIVEN_UP_TIMES = 3.0
 """The longest boots seen on ordinary days take so many times as long as stated."""
 
@@ -24,16 +27,29 @@
 class Boots:
     def __init__(self) -> None:
         self._seen: dict[str, deque[tuple[Instant, Seconds]]] = {}
+        self._expected: dict[str, tuple[Instant, Seconds]] = {}
 
     def came_up(self, machine_type: MachineType, took: Seconds, now: Instant) -> None:
         self._seen.setdefault(machine_type.name, deque(maxlen=MOST)).append((now, took))
 
     def expected(self, machine_type: MachineType, now: Instant) -> Seconds:
-        lately = [took for at, took in self._seen.get(machine_type.name, ()) if now - at <= LATELY_S]
-        return median(lately) if len(lately) >= ENOUGH else machine_type.boot_s
-
-    def late(self, machine_type: MachineType, waited: Seconds, now: Instant) -> bool:
-        return waited > LATE_TIMES * self.expected(machine_type, now)
+        # Asked for every machine, so worked out once a second.
+        at, known = self._expected.get(machine_type.name, (Instant(-inf), 0.0))
+        if now - at >= 1.0:
+            lately = self._lately(machine_type, now)
+            known = median(lately) if len(lately) >= ENOUGH else machine_type.boot_s
+            self._expected[machine_type.name] = (now, known)
+        return known
+
+    def _lately(self, machine_type: MachineType, now: Instant) -> list[Seconds]:
+        return [took for at, took in self._seen.get(machine_type.name, ()) if now - at <= LATELY_S]
+
+    def late_after(self, machine_type: MachineType, waiting: Sequence[Seconds], now: Instant) -> Seconds:
+        """From when on a booting machine is not counted on, given how long each of its type has
+        been awaited; never, while no more are late than on ordinary days."""
+        limit = LATE_TIMES * self.expected(machine_type, now)
+        late = sum(1 for waited in waiting if waited > limit)
+        return limit if late > ORDINARY_LATE * (len(waiting) + len(self._lately(machine_type, now))) else inf
 
     def patience(self, machine_type: MachineType, now: Instant) -> Seconds:
         """Booting at once now does not mean that what was rented before is lost."""
