Work that may run on ordinary machines only is no longer starved by draining them as dear

When nothing is pressed all dear kinds are drained, and ordinary machines are dear beside spot ones, also for work that may use no other.

What only dear kinds may run keeps its machine, and stays when it drains.

--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -24,13 +24,15 @@
     Need,
     Rental,
     dear_kinds,
+    must_pay,
     plan,
     press,
     price_of,
     surplus,
 )
 from meadowcross.jobs.book import Book, Placement
-from meadowcross.placement.engine import Room, Want, order
+from meadowcross.jobs.messages import JobSpec
+from meadowcross.placement.engine import Room, Want, allowed, order
 from meadowcross.workers.commands import Sender
 from meadowcross.workers.departures import moving_off
 from meadowcross.workers.roster import Machine, Roster
@@ -273,8 +275,9 @@
         if now - self._wanted_at > self._operator.drain_after_s:
             self._drain()
         elif now - self._pressed_at > self._operator.drain_after_s:
+            waiting = [need.spec for need in self._needs if self._must_pay(need.spec)]
             for machine in roster:
-                machine.draining = machine.kind in self._dear and machine.up
+                machine.draining = machine.kind in self._dear and machine.up and not self._paid_for(machine, waiting)
         else:
             for machine in roster:
                 machine.draining = False
@@ -286,6 +289,17 @@
             if (machine.draining or not self._needs) and idle >= keep and now - machine.rented_at >= MIN_CHARGE_S:
                 self.condemn(machine, f"idle for {idle:.0f} s")
 
+    def _must_pay(self, spec: JobSpec) -> bool:
+        return must_pay(spec, self._types(), self._dear)
+
+    def _paid_for(self, machine: Machine, waiting: list[JobSpec]) -> bool:
+        """Whether a dear machine is needed as nothing cheaper may run what waits, or what it runs.
+        Once every ordinary machine was drained as dear, and work that may use no other kind
+        waited for ever."""
+        jobs = {placement.task.job for placement in machine.placements.values()}
+        running = [job.spec for name in jobs if (job := self._leader.book.jobs.get(name)) is not None]
+        return any(allowed(spec, machine.kind) for spec in waiting) or any(self._must_pay(s) for s in running)
+
     def _keep_s(self, machine: Machine) -> Seconds:
         """An idle machine may cost as much as the boot that returning it may bring."""
         boot = self._boots.expected(machine.type, self.now) if machine.type is not None else 0.0
@@ -308,7 +322,9 @@
 
     def _move_off(self, machine: Machine) -> None:
         for placement, grace in moving_off(machine, self._leader.book, self.now):
-            self._leader.stop_task(placement, grace)
+            # What only dear kinds may run would come back to one, so it stays.
+            if machine.kind not in self._dear or not self._must_pay(self._leader.book.jobs[placement.task.job].spec):
+                self._leader.stop_task(placement, grace)
 
     # Rentals
 
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -87,6 +87,18 @@
     return {kind for kind, price in prices.items() if price > multiple * cheapest}
 
 
+def must_pay(spec: JobSpec, types: Iterable[MachineType], dear: set[MachineKind]) -> bool:
+    """Whether only dear kinds may run the job: they are no luxury then."""
+    return not any(
+        (kind := MachineKind(t.name, zone, spot)) not in dear
+        and allowed(spec, kind)
+        and slots(spec, t.cpus, t.gpus, t.memory_gb) > 0
+        for t in types
+        for zone in t.zones
+        for spot in (True, False)
+    )
+
+
 def press(needs: list[Need], slacks: list[Seconds], cpus: float) -> None:
     """Mark the needs, given in queue order, whose slack is shorter than the wait that
     the work ahead of them makes on `cpus`."""
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -8,7 +8,7 @@
 from meadowcross.common.types import MachineId, MachineKind
 from meadowcross.fleet import sizing
 from meadowcross.fleet.messages import decode_types, encode
-from meadowcross.fleet.sizing import Coming, Held, Need, dear_kinds, plan, press, surplus
+from meadowcross.fleet.sizing import Coming, Held, Need, dear_kinds, must_pay, plan, press, surplus
 from meadowcross.jobs.messages import JobSpec
 from tests.conftest import job
 from tests.standins import TYPES
@@ -70,3 +70,16 @@
     # What is smaller still finds the room that is there.
     small = need(300, False, cpus=0.5, memoryGb=1.0)
     assert plan([*needs, small], rooms, KINDS, SPOT, DEAR) == [] and rooms[-1].cpus == 0.0
+
+
+PAY = [
+    ("spot is allowed", {}, False),
+    ("ordinary machines only", {"stubble": False}, True),
+    ("ordinary, though it names the type", {"stubble": False, "builds": ["large"]}, True),
+    ("too large for any but the large type, which is cheap as spot", {"cpus": 16.0}, False),
+]
+
+
+@pytest.mark.parametrize(("changes", "pays"), [p[1:] for p in PAY], ids=[p[0] for p in PAY])
+def test_dear_kinds_are_no_luxury_for_what_may_use_no_other(changes, pays):
+    assert must_pay(need(1, **changes).spec, KINDS.values(), DEAR) is pays
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -361,3 +361,24 @@
     assert world.term is not first and sum(greets) >= 100 and max(greets) <= 32
     # The machines are silent but for their answers, which confirm them all.
     assert all(machine.confirmed for machine in world.term.roster.machines.values())
+
+
+@pytest.mark.parametrize("breed", ["batch", "group", "daemon"])
+def test_work_that_may_use_ordinary_machines_only_runs_there_and_stays(world, breed):
+    """Ordinary machines cost four times as much here, and nothing presses."""
+    world.lead()
+    world.submit(id="wk-000002", heads=40, sundownS=None)
+    world.pass_time(20.0, 0.1)
+    world.submit(breed=breed, stubble=False, sundownS=None, grazeS=600.0, stookS=10.0, baleS=1.0)
+    world.pass_time(8.0)
+
+    def mine():
+        return {key for w in world.workers.values() for key in w.started if key[0].startswith("wk-000001")}
+
+    before = mine()
+    assert len(before) == 2
+    # Drained, it would not have been offered had the fleet looked at it a moment sooner.
+    ordinary = [m for m in world.term.roster.machines.values() if not m.kind.spot]
+    assert ordinary and not any(m.draining for m in ordinary)
+    world.pass_time(90.0, 0.25)
+    assert mine() == before and len([task for task in world.running() if task.startswith("wk-000001")]) == 2
