Each waiting job looks at room from the first that may hold it; what no kind holds is priced once

Rooms that were full were passed one by one by every job that found room behind them, and jobs that no open kind could hold were priced one by one.

Ruled out: the passes (1.5 s of 65), what the work needs (0.01 to 0.03 s a tick), refusals.

The same choices: rooms only shrink within a plan.

--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -126,6 +126,15 @@
     return left
 
 
+def _holds(room: Coming, spec: JobSpec, memory_gb: float) -> bool:
+    return (
+        room.cpus + EPSILON >= spec.cpus
+        and room.gpus + EPSILON >= spec.gpus
+        and room.memory_gb + EPSILON >= memory_gb
+        and allowed(spec, room.kind)
+    )
+
+
 def price_of(kind: MachineKind, machine_type: MachineType) -> float:
     return machine_type.spot_price if kind.spot else machine_type.price
 
@@ -156,18 +165,26 @@
 ) -> list[Rental]:
     """Rentals for the needs, cheapest useful capacity first. `closed` has no capacity now."""
     rentals: dict[MachineKind, int] = {}
-    # Up to where no room holds a task of this shape and so much memory any more: a swarm of
-    # jobs that differ by little once spent two thirds of a leader's time asking the same full
-    # rooms for each of them.
-    full: dict[Shape, tuple[float, int]] = {}
-    for need in needs:
+    # The first room that may still hold a task of a shape: a swarm of jobs that differ by
+    # little once spent two thirds of a leader's time asking the same full rooms for each.
+    shaped = [(need, shape_of(need.spec)._replace(memory_gb=0.0)) for need in needs]
+    least: dict[Shape, float] = {}
+    for need, shape in shaped:
+        least[shape] = min(need.spec.memory_gb, least.get(shape, inf))
+    first: dict[Shape, int] = {}
+    # From how much memory on no open kind is left for a shape: it need not be priced again.
+    barren: dict[tuple[Shape, bool], float] = {}
+    for need, shape in shaped:
         memory = need.spec.memory_gb
-        shape = shape_of(need.spec)._replace(memory_gb=0.0)
-        least, asked = full.get(shape, (inf, 0))
-        left = absorb(need, coming, asked if memory >= least else 0)
+        start = first.get(shape, 0)
+        while start < len(coming) and not _holds(coming[start], need.spec, least[shape]):
+            start += 1
+        first[shape] = start
+        left = absorb(need, coming, start)
         if left == 0:
             continue
-        full[shape] = (min(memory, least), len(coming))
+        if memory >= barren.get((shape, need.pressed), inf):
+            continue
         options = []
         for machine_type in types.values():
             for zone in machine_type.zones:
@@ -181,6 +198,7 @@
                     if cost is not None:
                         options.append((cost[0], rentals.get(kind, 0), kind, cost[1]))
         if not options:
+            barren[shape, need.pressed] = memory
             continue
         _, _, kind, machines = min(options)
         rentals[kind] = rentals.get(kind, 0) + machines
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -59,14 +59,25 @@
 
 
 def test_a_swarm_of_jobs_that_look_alike_asks_each_full_room_once(monkeypatch):
-    asked = []
-    original = sizing.slots
-    monkeypatch.setattr(sizing, "slots", lambda *arguments: asked.append(1) or original(*arguments))
+    asked, priced = [], []
+    holds, cost_of = sizing._holds, sizing.cost_of
+    monkeypatch.setattr(sizing, "_holds", lambda *arguments: asked.append(1) or holds(*arguments))
+    monkeypatch.setattr(sizing, "cost_of", lambda *arguments: priced.append(1) or cost_of(*arguments))
     rooms = [Coming(SMALL_EAST, 0.5, 0.0, 1.0) for _ in range(300)]
     # They differ a little in memory, as a swarm's do; the first is the smallest.
     needs = [need(1, False, builds=["small"], memoryGb=1.0 + n * 0.001) for n in range(300)]
     assert plan(needs, rooms, KINDS, SPOT, DEAR) == []
-    assert len(asked) == 300
+    assert len(asked) == 300 and priced == []
+    # Nor where the last room has place for all of them.
+    asked.clear()
+    rooms[-1:] = [Coming(SMALL_EAST, 300.0, 0.0, 1000.0)]
+    assert plan(needs, rooms, KINDS, SPOT, DEAR) == [] and len(asked) < 300 + 2 * 300
+    rooms[-1] = Coming(SMALL_EAST, 0.5, 0.0, 1.0)
+    # Nor is what has no open kind priced for each of them: here no type is large enough.
+    huge = [need(1, cpus=64.0, memoryGb=1.0 + n * 0.001) for n in range(300)]
+    assert plan(huge, [], KINDS, set(), DEAR) == [] and len(priced) == 6
+    pressed = [need(1, builds=["small"], memoryGb=1.0), need(1, False, builds=["small"], memoryGb=1.0)]
+    assert len(plan(pressed, [], KINDS, SPOT, DEAR)) == 1, "what is not pressed does not speak for what is"
     # What is smaller still finds the room that is there.
     small = need(300, False, cpus=0.5, memoryGb=1.0)
     assert plan([*needs, small], rooms, KINDS, SPOT, DEAR) == [] and rooms[-1].cpus == 0.0
