Read-through: one list of rentable kinds, one time to save, no unused parameter

kinds_of serves the dear kinds, must_pay and the plan, which each wrote out types, zones and spot; time_to_save serves draining and lenders; compare loses a timeout that nobody gave; savers looks at no victim for a job without a guarantee.

--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from itertools import islice
 from math import ceil, inf
@@ -75,14 +75,17 @@
     machines: int
 
 
+def kinds_of(types: Iterable[MachineType]) -> Iterator[tuple[MachineKind, MachineType]]:
+    """All that can be rented: each type in each of its zones, spot and ordinary."""
+    for machine_type in types:
+        for zone in machine_type.zones:
+            for spot in (True, False):
+                yield MachineKind(machine_type.name, zone, spot), machine_type
+
+
 def dear_kinds(types: Iterable[MachineType], multiple: float) -> set[MachineKind]:
     """Kinds whose CPUs cost more than `multiple` times the cheapest: paid only under pressure."""
-    prices = {
-        (kind := MachineKind(t.name, zone, spot)): price_of(kind, t) / t.cpus
-        for t in types
-        for zone in t.zones
-        for spot in (True, False)
-    }
+    prices = {kind: price_of(kind, t) / t.cpus for kind, t in kinds_of(types)}
     cheapest = min(prices.values(), default=0.0)
     return {kind for kind, price in prices.items() if price > multiple * cheapest}
 
@@ -90,12 +93,8 @@
 def must_pay(spec: JobSpec, types: Iterable[MachineType], dear: set[MachineKind]) -> bool:
     """Whether only dear kinds may run the job: they are no luxury then."""
     return not any(
-        (kind := MachineKind(t.name, zone, spot)) not in dear
-        and allowed(spec, kind)
-        and slots(spec, t.cpus, t.gpus, t.memory_gb) > 0
-        for t in types
-        for zone in t.zones
-        for spot in (True, False)
+        kind not in dear and allowed(spec, kind) and slots(spec, t.cpus, t.gpus, t.memory_gb) > 0
+        for kind, t in kinds_of(types)
     )
 
 
@@ -186,17 +185,14 @@
         if memory >= barren.get((shape, need.pressed), inf):
             continue
         options = []
-        for machine_type in types.values():
-            for zone in machine_type.zones:
-                for spot in (True, False):
-                    kind = MachineKind(machine_type.name, zone, spot)
-                    if kind in closed or not allowed(need.spec, kind):
-                        continue
-                    if kind in dear and need.spec.spot and not need.pressed:
-                        continue
-                    cost = cost_of(kind, machine_type, need, left)
-                    if cost is not None:
-                        options.append((cost[0], rentals.get(kind, 0), kind, cost[1]))
+        for kind, machine_type in kinds_of(types.values()):
+            if kind in closed or not allowed(need.spec, kind):
+                continue
+            if kind in dear and need.spec.spot and not need.pressed:
+                continue
+            cost = cost_of(kind, machine_type, need, left)
+            if cost is not None:
+                options.append((cost[0], rentals.get(kind, 0), kind, cost[1]))
         if not options:
             barren[shape, need.pressed] = memory
             continue
--- a/meadowcross/jobs/messages.py
+++ b/meadowcross/jobs/messages.py
@@ -8,7 +8,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from meadowcross.common.types import JobId, WallTime
+from meadowcross.common.types import JobId, Seconds, WallTime
 
 MAX_TASKS = 100_000
 
@@ -60,6 +60,11 @@
     deadline_s: _Amount | None = field(name="sundownS", default=None)
 
 
+def time_to_save(save_s: Seconds) -> Seconds:
+    """What a task that is stopped without hurry is given to save: twice what it needs, and some."""
+    return 2 * save_s + 1.0
+
+
 class Standing(Enum):
     PENDING = "pending"
     RUNNING = "running"
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -13,7 +13,7 @@
 
 from meadowcross.common.settings import Operator
 from meadowcross.common.types import EPSILON, Instant, JobId, MachineId, Seconds
-from meadowcross.jobs.messages import RANK
+from meadowcross.jobs.messages import RANK, time_to_save
 from meadowcross.placement.engine import (
     Hold,
     Offer,
@@ -33,7 +33,6 @@
 HOLD_TIMES = 10.0
 """Ends of a tenth of what runs on the machines held are waited for: a few seconds."""
 HOLD_LEAST = 4.0
-SAVE_TIMES = 2.0
 LOWEST_RANK = max(RANK.values())
 
 
@@ -188,8 +187,10 @@
     """What another team runs beyond its guarantee and can save, for work of the same priority
     within one. It loses nothing, so nothing is gained by waiting until the slack is short:
     idle-time work of a guest that filled all room made a third of the others' jobs late."""
+    if want.guaranteed == 0:
+        return []
     return [
-        replace(victim, grace=SAVE_TIMES * victim.save_s + 1.0)
+        replace(victim, grace=time_to_save(victim.save_s))
         for victim in victims
         if victim.save_s is not None and victim.borrowed and victim.rank == want.rank and yields(victim, want)
     ]
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -143,10 +143,10 @@
             raise Conflicted(m.decode_conflict(reply.body).failed)
         raise Refused(f"transaction: {reply.status} {reply.body[:200]!r}")
 
-    async def compare(self, conditions: Sequence[m.Condition], timeout: Seconds = CALL_S) -> set[str]:
+    async def compare(self, conditions: Sequence[m.Condition]) -> set[str]:
         """The keys, of those named, that no longer have the version given."""
         try:
-            await self.transact(conditions, [], Urgency.USER, timeout)
+            await self.transact(conditions, [], Urgency.USER)
         except Conflicted as conflict:
             return set(conflict.failed)
         return set()
--- a/meadowcross/workers/departures.py
+++ b/meadowcross/workers/departures.py
@@ -8,6 +8,7 @@
 
 from meadowcross.common.types import Instant, Seconds
 from meadowcross.jobs.book import Book, Job, Phase, Placement
+from meadowcross.jobs.messages import time_to_save
 from meadowcross.workers.roster import Machine
 
 LATE_FACTOR = 1.5
@@ -62,5 +63,5 @@
         ran = now - placement.running_at
         left = book.expected_run(job.spec) - ran
         if ran > SETTLED_S and not 0 <= left <= 2 * job.spec.save_s:
-            stops.append((placement, 2 * job.spec.save_s + 1.0))
+            stops.append((placement, time_to_save(job.spec.save_s)))
     return stops
