A job goes by the next aim that it can still meet; several aims of a class count

And of several aims of one kind the last named stood for the class: rights-check, to start within 1 s and within 30 s, had 30; every class with any aim on its start, be it 120 s, made others give way at once.

Change: jobs/aims.py tells which due time a job can still meet (a miss by less than a quarter of the expected run counts as meeting it) and the slack to it; past all its aims a job goes by times that grow by half, so that it is not starved. Waiting harms where an aim on the start is about to be missed, not wherever a class has one.

Ruled out: putting late jobs last (on record: long idle jobs starve).

--- /dev/null
+++ b/meadowcross/jobs/aims.py
@@ -0,0 +1,71 @@
+"""What the users' aims ask of a job next: which time it can still meet, and how much is left until then.
+
+A class may have several aims of one kind (a deadline and one and a half times of it; a start
+within a second and within thirty). A job that can't meet the first any more is not the most
+urgent for that: it aims at the next that it still can. Once the hopeless went first, took the
+first machines that came up, and the next ones were late too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from meadowcross.common.settings import Objective
+from meadowcross.common.types import Seconds
+from meadowcross.jobs.messages import JobSpec
+
+NO_DUE: Seconds = 1e9
+HOPE = 0.25
+"""Estimates are often wrong by half: a job that misses a time by less than this share of its
+expected run may still meet it."""
+LATE_GROWTH = 1.5
+"""Past all its aims a job goes on aiming at times that grow by this factor, so that it waits for
+what can still be in time, but not for ever."""
+
+
+class Aims:
+    def __init__(self, objectives: Iterable[Objective]) -> None:
+        self._starts: dict[str | None, list[Seconds]] = {}
+        self._finishes: dict[str | None, list[Seconds]] = {}
+        self._times: dict[str | None, list[float]] = {}
+        for aim in objectives:
+            if aim.kind == "wait" and aim.within_s is not None:
+                self._starts.setdefault(aim.job_class, []).append(aim.within_s)
+            elif aim.kind == "finished" and aim.within_s is not None:
+                self._finishes.setdefault(aim.job_class, []).append(aim.within_s)
+            elif aim.kind == "deadline" and aim.times is not None:
+                self._times.setdefault(aim.job_class, []).append(aim.times)
+        for aims in (self._starts, self._finishes, self._times):
+            for values in aims.values():
+                values.sort()
+
+    def start_within(self, job_class: str) -> Seconds | None:
+        """The shortest time within which the class's tasks should start."""
+        starts = self._starts.get(job_class)
+        return starts[0] if starts else None
+
+    def start_slack(self, spec: JobSpec, elapsed: Seconds) -> Seconds:
+        """How long until the next time by which its tasks should have started; NO_DUE past all."""
+        return next((s - elapsed for s in self._starts.get(spec.job_class, ()) if elapsed <= s), NO_DUE)
+
+    def _dues(self, spec: JobSpec) -> list[Seconds]:
+        """The times after its submission by which it should be done, soonest first."""
+        dues = list(self._finishes.get(spec.job_class, ()))
+        if spec.deadline_s is not None:
+            dues.append(spec.deadline_s)
+            dues += (times * spec.deadline_s for times in self._times.get(spec.job_class, ()))
+        return sorted(dues)
+
+    def slack(self, spec: JobSpec, elapsed: Seconds, run_s: Seconds) -> Seconds:
+        """How long its tasks may still wait for it to be done by the next time that it can meet."""
+        dues = self._dues(spec)
+        if not dues:
+            return NO_DUE
+        least = elapsed + (1 - HOPE) * run_s
+        for due in dues:
+            if due >= least:
+                return due - elapsed - run_s
+        due = max(dues[-1], 1.0)
+        while due < least:
+            due *= LATE_GROWTH
+        return due - elapsed - run_s
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -103,7 +103,7 @@
         self._pass_took: Seconds = 0.0
         self._moved_at = self.now
         self._began = self._ticked_at = self.now
-        self._giving_way = GivingWay(self.view.prompt, operator)
+        self._giving_way = GivingWay(operator)
         self._tick = LoopingCall(self._on_tick)
         self._tick.clock = reactor
 
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -10,7 +10,9 @@
 from meadowcross.common.types import EPSILON, Instant, MachineId, Seconds
 from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs import messages as jm
+from meadowcross.jobs.aims import Aims
 from meadowcross.jobs.book import Book, Job, Phase
+from meadowcross.jobs.messages import JobSpec
 from meadowcross.leadership.reach import Reach, heard_window
 from meadowcross.placement.engine import Offer, Room, Want, constrained
 from meadowcross.placement.moves import Replica
@@ -19,7 +21,6 @@
 from meadowcross.workers.roster import Machine, Roster
 
 NO_LIMIT = 1e15
-NO_DUE: Seconds = 1e9
 ALMOST_DONE_S: Seconds = 3.0
 
 
@@ -35,24 +36,14 @@
     ) -> None:
         self._clock = clock
         self._types = types
-        self._facts = facts
         self._book = book
         self._roster = roster
         self._health = health
         self._teams = {team.name: team for team in facts.teams}
-        self._start_within = self._aims("wait")
-        self.prompt = set(self._start_within)
-        """Classes with an aim on how soon their tasks start."""
-        self._done_within = self._aims("finished")
+        self._aims = Aims(facts.objectives)
         self._window = heard_window(facts.workers.report_s)
         self._woke_at = Instant(0.0)
 
-    def _aims(self, kind: str) -> dict[str | None, Seconds]:
-        """By class, the time that an aim of this kind allows."""
-        return {
-            o.job_class: o.within_s for o in self._facts.objectives if o.kind == kind and o.within_s is not None
-        }
-
     @property
     def _now(self) -> Instant:
         return Instant(self._clock.seconds())
@@ -160,8 +151,8 @@
     def _want(self, job: Job) -> Want:
         spec = job.spec
         run = self._book.expected_run(spec)
-        deadline = spec.deadline_s if spec.deadline_s is not None else self._done_within.get(spec.job_class)
-        slack = NO_DUE if deadline is None else job.submitted + deadline - self._now - run
+        elapsed = self._now - job.submitted
+        slack = self._aims.slack(spec, elapsed, run)
         team = self._teams[spec.team]
         within = max(0, int((team.cpus - self._book.use_of(spec.team).cpus + EPSILON) / spec.cpus))
         borrowing = within == 0
@@ -169,7 +160,10 @@
         retrying = job.retrying and not job.probing
         want = Want(job.id, spec, count, job.rank, slack, retrying, borrowing, within)
         want.run_s = run
-        want.warm_only = self._warm_only(job)
+        fastest = max((t.fetch_gb_per_s for t in self._types()), default=0.0)
+        fetch = spec.image_gb / max(fastest, 0.01)
+        want.start_slack = self._aims.start_slack(spec, elapsed) - fetch
+        want.warm_only = self._warm_only(spec, elapsed, fetch)
         if constrained(spec):
             for placement in job.placed.values():
                 machine = self._roster.machines.get(placement.machine)
@@ -178,16 +172,12 @@
                 want.siblings[placement.machine] = (known, count + 1)
         return want
 
-    def _warm_only(self, job: Job) -> bool:
+    def _warm_only(self, spec: JobSpec, elapsed: Seconds, fetch: Seconds) -> bool:
         """Whether a task of the job can still start as soon as its class should, but not
         where its image has to be fetched first. Then it takes room from lower priority where
         the image is rather than free room elsewhere; half the time is left for that."""
-        within = self._start_within.get(job.spec.job_class)
-        if within is None:
-            return False
-        elapsed = self._now - job.submitted
-        fastest = max((t.fetch_gb_per_s for t in self._types()), default=0.0)
-        return elapsed < within / 2 and elapsed + job.spec.image_gb / max(fastest, 0.01) > within
+        within = self._aims.start_within(spec.job_class)
+        return within is not None and elapsed < within / 2 and elapsed + fetch > within
 
     def _gang_ready(self, job: Job) -> bool:
         """A gang starts anew once all of its old attempt is gone; before it has started,
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import inf
 from typing import NamedTuple
 
 from meadowcross.common.settings import Operator
@@ -57,6 +58,8 @@
     """How many of its tasks are still within its team's guarantee."""
     warm_only: bool = False
     """Only a machine that holds the image can start it promptly, and it still may."""
+    start_slack: Seconds = inf
+    """How long it may still wait, its image fetched, for its class's aim on the start."""
     run_s: Seconds = 0.0
     """How long one of its tasks is expected to run."""
     siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -167,12 +167,12 @@
             over[victim.team] -= victim.cpus
 
 
-def in_hurry(want: Want, victims: Iterable[Victim], prompt: set[str | None]) -> bool:
-    """Whether waiting for room harms: the class is to start promptly, or the slack is
-    within the estimates' error, or others borrow what its team is guaranteed."""
+def in_hurry(want: Want, victims: Iterable[Victim]) -> bool:
+    """Whether waiting for room harms: an aim on the start is about to be missed, or the slack
+    is within the estimates' error, or others borrow what its team is guaranteed."""
     spec = want.spec
     return (
-        spec.job_class in prompt
+        want.start_slack < HURRY_S
         or want.slack < HURRY_RUNS * want.run_s + HURRY_S
         or talks(spec)
         or (
@@ -232,8 +232,7 @@
 class GivingWay:
     """Stops lower priority for what found no room. Victims under way count as room."""
 
-    def __init__(self, prompt: set[str | None], weights: Operator) -> None:
-        self._prompt = prompt
+    def __init__(self, weights: Operator) -> None:
         self._weights = weights
         self._asked: dict[JobId, Asked] = {}
         self._under_way: set[JobId] = set()
@@ -290,7 +289,7 @@
                 offers = offers_where(victims)
             if constrained(want.spec) and not whole:
                 offers, whole = all_offers(), True
-            hurry = in_hurry(want, victims, self._prompt)
+            hurry = in_hurry(want, victims)
             chosen = [] if hurry else self._victims_for(want, short, offers, savers(want, victims))
             if not hurry and not chosen:
                 # What waits without harm lets the others keep what they have done.
