Money is pressed only where a wait is longer than a boot, and for late starts too

Change: a need is pressed where the work ahead of it makes it wait longer than the shortest boot and longer than its slack; the slack is the lesser of the one to its end and the one to its start.

--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -342,8 +342,10 @@
             rooms[want.spec.team].take(want.spec, count)
             if count:
                 self._needs.append(Need(want.spec, count, want.run_s))
-                slacks.append(want.slack)
-        press(self._needs, slacks, cpus)
+                # Late to start is late too: money may buy room for either aim.
+                slacks.append(min(want.slack, want.start_slack))
+        boot = min((self._boots.expected(t, self.now) for t in self._types()), default=0.0)
+        press(self._needs, slacks, cpus, boot)
 
     def new_work(self) -> None:
         """A job came: what it needs is rented now, not at the next tick."""
--- a/meadowcross/fleet/sizing.py
+++ b/meadowcross/fleet/sizing.py
@@ -98,13 +98,15 @@
     )
 
 
-def press(needs: list[Need], slacks: list[Seconds], cpus: float) -> None:
+def press(needs: list[Need], slacks: list[Seconds], cpus: float, boot: Seconds) -> None:
     """Mark the needs, given in queue order, whose slack is shorter than the wait that
-    the work ahead of them makes on `cpus`."""
+    the work ahead of them makes on `cpus`, where that wait is longer than a boot: what comes
+    free sooner than any machine rented for it is not hurried by money. Once some job was
+    always about to be late, and all ordinary machines were kept all day for it."""
     ahead = 0.0
     for need, slack in zip(needs, slacks, strict=True):
         ahead += need.count * need.spec.cpus * need.run_s
-        need.pressed = cpus <= 0 or slack < ahead / cpus
+        need.pressed = cpus <= 0 or max(slack, boot) < ahead / cpus
 
 
 def absorb(need: Need, coming: Sequence[Coming], first: int = 0) -> int:
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -43,8 +43,10 @@
 
 def test_pressure_is_slack_against_the_work_ahead():
     needs = [need(10), need(10), need(10)]
-    press(needs, [1000.0, 50.0, 1000.0], 10.0)
+    press(needs, [1000.0, 50.0, 1000.0], 10.0, 5.0)
     assert [n.pressed for n in needs] == [False, True, False]
+    press(needs, [1000.0, 50.0, 1000.0], 10.0, 70.0)
+    assert not any(n.pressed for n in needs), "room comes free sooner than a machine that is rented for it"
 
 
 def test_surplus_drains_the_dearest_room_that_the_rest_can_do_without():
