--- a/meadowcross/jobs/book.py
+++ b/meadowcross/jobs/book.py
@@ -35,13 +35,15 @@
 class Placement:
     """One attempt of a task on a machine; it counts until proven gone."""
 
-    __slots__ = ("attempt", "grace", "machine", "phase", "running_at", "since", "stop_at", "task")
+    __slots__ = ("attempt", "grace", "inherited", "machine", "phase", "running_at", "since", "stop_at", "task")
 
     def __init__(self, task: TaskId, attempt: Attempt, machine: MachineId, phase: Phase, since: Instant) -> None:
         self.task = task
         self.attempt = attempt
         self.machine = machine
         self.phase = phase
+        self.inherited = phase is Phase.INHERITED
+        """Stored by an earlier leader: it may have run for long before we saw it run."""
         self.since = since
         self.running_at: Instant | None = None
         self.stop_at: Instant | None = None
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -324,7 +324,10 @@
         self.roster.detach(placement, job.spec, now)
         if outcome.change is Change.DONE:
             if placement.running_at is not None:
-                self.book.learn_run(job, now - placement.running_at)
+                if not placement.inherited:
+                    # Else only the end of the run was seen: after each takeover all classes
+                    # once seemed to run for a moment.
+                    self.book.learn_run(job, now - placement.running_at)
                 log.debug("task %s done on %s after %.2f s", placement.task, machine.id, now - placement.running_at)
             machine.images.add(job.spec.image)
             self.book.task_done(placement)
--- a/measure/day.py
+++ b/measure/day.py
@@ -113,7 +113,9 @@
                 ),
             )  # fmt: skip
         elif found := RUNS.match(text):
-            running[found[1], int(found[2])] = (found[3], at)
+            # A new leader tells anew of what it finds running.
+            if running.get((found[1], int(found[2])), ("", 0.0))[0] != found[3]:
+                running[found[1], int(found[2])] = (found[3], at)
         elif found := DONE.match(text):
             settle(found[1], int(found[2]), found[3], at, "done", float(found[4]))
         elif found := GONE.match(text):
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from measure import bounds, cost
+from measure import bounds, cost, recovery
 from measure.day import money, read
 
 FACTS = """
@@ -117,3 +117,15 @@
 def test_the_cost_tool_refuses_sizes_that_it_cannot_build(sizes, capsys):
     assert cost.main(["--sizes", sizes]) == 2
     assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_recovery_tells_the_gap_and_when_as_much_runs_again(tmp_path, capsys):
+    log = tmp_path / "day.log"
+    log.write_text("\n".join(LOG))
+    assert recovery.main([str(log), "--at", "14", "--json"]) == 0
+    found = json.loads(capsys.readouterr().out)
+    # Four tasks ran, one was stopped at once; the next began when the other three were done.
+    assert found["cpus_before"] == 4.0 and found["no_start_s"] == pytest.approx(30.1)
+    assert found["again_s"] == pytest.approx(29.0, abs=recovery.STEP_S)
+    assert recovery.main([str(log), "--at", "1000"]) == 2
+    assert "no second 1000" in capsys.readouterr().err
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -382,3 +382,20 @@
     assert ordinary and not any(m.draining for m in ordinary)
     world.pass_time(90.0, 0.25)
     assert mine() == before and len([task for task in world.running() if task.startswith("wk-000001")]) == 2
+
+
+def test_runs_of_which_only_the_end_was_seen_teach_nothing(world):
+    first = world.lead()
+    world.submit()
+    world.pass_time(6.0)
+    assert len(world.running()) == 2
+    world.election.stand_down("for the test")
+    world.pass_time(4.0)
+    second = world.term
+    assert second is not first and second.loaded
+    for worker in world.workers.values():
+        for key in list(worker.tasks):
+            worker.end(key)
+    world.pass_time(3.0)
+    assert world.state.value("e/wk-000001") == {"s": "done", "n": 2}
+    assert first.book.run_ratio == {} and second.book.run_ratio == {}, "a run of 30 s was taken for one of 2 s"
