--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -129,3 +129,17 @@
     assert found["again_s"] == pytest.approx(29.0, abs=recovery.STEP_S)
     assert recovery.main([str(log), "--at", "1000"]) == 2
     assert "no second 1000" in capsys.readouterr().err
+
+
+def test_what_higher_priority_uses_first_is_not_there_for_the_rest():
+    lines = [
+        "0.0 n0 " + ACCEPTED.format("000001", "urgent", 8, 60),
+        "0.0 n0 " + ACCEPTED.format("000002", "idle", 8, 60),
+        *(f"31.0 n0 D n0 leadership: task wk-00000{n}/0 done on i-1 after 30.00 s" for n in (1, 2)),
+    ]
+    urgent, idle = read(lines).jobs.values()
+    free = [8.0] * 12
+    left = bounds.served_first([urgent], free, 0.0)
+    assert sum(free) - sum(left) == pytest.approx(8 * 30.0 / bounds.STEP_S)
+    assert bounds.in_time([idle], [48.0], free, 0.0) == pytest.approx(1.0)
+    assert bounds.in_time([idle], [48.0], left, 0.0) == pytest.approx(0.6)
