Silent machines are judged by zone: in one where others report, most silent is not a cut

Cause: where over half of all machines fell silent at once, each was kept for 45 s, also when they were dead and others beside them reported: a cut takes whole zones.

Change: fleet/silence.py tells the patience by zone: long only where nine in ten of a zone are silent, twice the usual where most are silent but not their zone, since it may be our own slowness.

Ruled out: judging by answers to greetings, which a busy leader reads late.

--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -18,6 +18,7 @@
 from meadowcross.fleet.arrivals import Ends, Offers, room_coming
 from meadowcross.fleet.boots import Boots
 from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from meadowcross.fleet.silence import patience
 from meadowcross.fleet.sizing import (
     MIN_CHARGE_S,
     Held,
@@ -208,20 +209,16 @@
     def _look_after(self) -> None:
         now = self.now
         view = self._leader.view
-        heard = [x for x in self._leader.roster.machines.values() if x.up]
-        # Many at once: more likely they or we are cut off, so wait until the list must have told
-        # that they are dead: a fleet is sooner back from a cut than booted anew. Counted as
-        # soon as silence shows, or those silent first would be given up before the others.
-        quiet = [x for x in heard if view.silent(x)]
-        many = len(quiet) > 2 and len(quiet) * 2 > len(heard)
+        # Counted as soon as silence shows, or those silent first would be given up before the others.
+        heard = [(x.kind.zone, view.silent(x)) for x in self._leader.roster.machines.values() if x.up]
         told = DEAD_LISTED_S + 2 * LIST_FACTOR * self._facts.cloud.list_lag_s
-        patience = told if many else self._operator.silent_s
+        kept = patience(heard, self._operator.silent_s, told)
         for machine in list(self._leader.roster.machines.values()):
             if machine.condemned is not None:
                 continue
             if machine.up:
                 silence = view.silence(machine)
-                if silence > patience:
+                if silence > kept[machine.kind.zone]:
                     self.condemn(machine, f"silent for {silence:.1f} s")
                 elif view.silent(machine):
                     self._leader.sender.greet(machine.id)
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,24 @@
+"""For how long silent machines are kept."""
+
+from __future__ import annotations
+
+import pytest
+
+from meadowcross.fleet.silence import patience
+
+CASES = [
+    # name, silent and all machines by zone, patience by zone (8 s usually, 45 s until the list must have told)
+    ("a few", {"east": (2, 3)}, {"east": 8.0}),
+    ("fewer than half", {"east": (40, 100), "west": (0, 10)}, {"east": 8.0, "west": 8.0}),
+    ("a small zone is cut off", {"east": (20, 20), "west": (0, 100)}, {"east": 8.0, "west": 8.0}),
+    ("the zone with most machines is cut off", {"east": (95, 100), "west": (0, 20)}, {"east": 45.0, "west": 16.0}),
+    ("we are cut off", {"east": (100, 100), "west": (20, 20)}, {"east": 45.0, "west": 45.0}),
+    ("most died, others beside them report", {"east": (60, 100), "west": (15, 20)}, {"east": 16.0, "west": 16.0}),
+    ("nobody was ever heard", {}, {}),
+]
+
+
+@pytest.mark.parametrize(("zones", "kept"), [c[1:] for c in CASES], ids=[c[0] for c in CASES])
+def test_patience(zones, kept):
+    machines = [(zone, n < quiet) for zone, (quiet, count) in zones.items() for n in range(count)]
+    assert patience(machines, 8.0, 45.0) == kept
