The room of deleted machines is asked for at once

Change: the cloud's answer to a delete opens the kind of a machine that was up and not being taken back.

Ruled out: the 45 s of patience (fewer than nine tenths of a zone were silent) and boots (31 to 45 s as stated).

--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -256,6 +256,11 @@
             self._deleting.difference_update(names)
         log.info("deleted %s", ", ".join(names))
         for name in names:
+            machine = self._leader.roster.machines.get(name)
+            if machine is not None and machine.up and machine.taken_at is None:
+                # Its room is free for what is rented next. Once 250 dead machines were deleted
+                # a second after a refusal, and their kind was not asked for again for ten more.
+                self._closed.pop(machine.kind, None)
             self._deleted[name] = None
             self._ends.forget(name)
             if self._tick.running:
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -22,3 +22,24 @@
 def test_patience(zones, kept):
     machines = [(zone, n < quiet) for zone, (quiet, count) in zones.items() for n in range(count)]
     assert patience(machines, 8.0, 45.0) == kept
+
+
+def test_the_room_of_deleted_machines_is_asked_for_at_once(world):
+    """A kind that was refused is left alone for 12 s; the death of its machines makes room for it."""
+    term = world.lead()
+    world.submit(heads=8, cpus=2.0, builds=["small"], grazeS=600.0, sundownS=None)
+    world.pass_time(6.0)
+    assert world.running()
+    (dead,) = {p.machine for p in term.book.jobs["wk-000001"].placed.values() if p.task.number == 0}
+    kind = term.roster.machines[dead].kind
+    term.fleet._closed[kind] = term.now + 1000.0
+    world.net.hosts.pop(world.workers.pop(dead).machine["addr"])
+    world.cloud.on_delete = lambda name: None
+    known = set(world.cloud.machines)
+    world.pass_time(8.0)
+    assert not [m for n, m in world.cloud.machines.items() if n not in known], "asked for while it was refused"
+    world.pass_time(5.0)
+    assert dead in world.cloud.deleted
+    assert any(
+        (m["build"], m["field"], m["stubble"]) == kind for n, m in world.cloud.machines.items() if n not in known
+    )
