--- a/measure/bounds.py
+++ b/measure/bounds.py
@@ -23,7 +23,7 @@
 from statistics import median
 from typing import Any
 
-from measure.day import Day, DayJob, money, read
+from measure.day import Day, DayJob, money, paid, read
 
 STEP_S = 4.0
 ORDER = {"critical": 0, "urgent": 1, "normal": 2, "idle": 3}
@@ -212,7 +212,7 @@
     )
 
 
-def lines_of(day: Day, facts: Facts) -> list[Line]:
+def lines_of(day: Day, facts: Facts, spent: dict[str, float]) -> list[Line]:
     """Per aim on times, useful money, price and the end of all work."""
     if not day.jobs:
         return []
@@ -229,32 +229,32 @@
             line = _deadline(day, target, free, limit, first_up, facts.counted_from)
             if line is not None:
                 lines.append(line)
-    lines += _money_lines(day, facts, done, first_up)
+    end = max((job.ended or 0.0 for job in done), default=0.0)
+    lines += _money_lines(day, facts, spent, done, end - first_up)
     # All work done: no sooner than its longest chain, nor than all capacity can.
     chain = max((max(j.submitted, first_up) + work_of(j)[1] for j in done), default=0.0)
     rest = served_first(done, free, first_up)
     used = [step for step in range(steps) if rest[step] < free[step] - 1e-9]
     fluid = (used[-1] + 1) * STEP_S if used else 0.0
-    end = max((job.ended or 0.0 for job in done), default=0.0)
     lines.append(Line("all work done (s)", None, end, max(chain, fluid), max(chain, fluid)))
     return lines
 
 
-def _money_lines(day: Day, facts: Facts, done: Sequence[DayJob], first_up: float) -> list[Line]:
-    spent = money(day, facts.price, facts.cpus)
-    paid = sum(value for key, value in spent.items() if not key.startswith("("))
-    if paid <= 0:
+def _money_lines(
+    day: Day, facts: Facts, spent: dict[str, float], done: Sequence[DayJob], lasted: float
+) -> list[Line]:
+    all_paid = paid(spent)
+    if all_paid <= 0:
         return []
     # The least that must be paid beside the work: one boot of the fewest CPUs that can do all of
     # it between the first that is up and the last end seen.
     work = sum(work_of(job)[0] for job in done)
-    end = max((job.ended or 0.0 for job in done), default=0.0)
     cheapest = min(facts.price[kind] / facts.cpus[kind[0]] for kind in facts.price if facts.count.get(kind))
     boots = [m.up - m.rented for m in day.machines.values() if m.up is not None]
     boot = median(boots) if boots else 0.0
-    least = work + boot * work / max(1.0, end - first_up)
-    useful = spent.get("useful", 0.0) / paid
-    price = paid * 3600.0 / (work * cheapest) if work else 0.0
+    least = work + boot * work / max(1.0, lasted)
+    useful = spent.get("useful", 0.0) / all_paid
+    price = all_paid * 3600.0 / (work * cheapest) if work else 0.0
     return [
         Line("useful money (saved work not counted)", None, useful, work / least, work / least),
         Line("price", None, price, least / work if work else 0.0, least / work if work else 0.0),
@@ -281,9 +281,8 @@
     if not day.jobs:
         print(f"measure.bounds: {options.log}: no job was accepted there; is it a log at level debug?", file=sys.stderr)
         return 2
-    lines = lines_of(day, facts)
     spent = money(day, facts.price, facts.cpus)
-    paid = sum(value for key, value in spent.items() if not key.startswith("("))
+    lines = lines_of(day, facts, spent)
     if options.json:
         print(json.dumps([{f: getattr(line, f) for f in Line.__slots__} for line in lines]))
         return 0
@@ -293,7 +292,7 @@
         print(f"| {line.aim} | {users} | {line.ours:.3f} | {line.alone:.3f} | {line.ranked:.3f} |")
     print("\n| where the money went | share |\n| --- | --- |")
     for key, value in sorted(spent.items(), key=lambda item: -item[1]):
-        print(f"| {key} | {value / paid:.1%} |")
+        print(f"| {key} | {value / paid(spent):.1%} |")
     return 0
 
 
--- a/measure/cost.py
+++ b/measure/cost.py
@@ -16,6 +16,7 @@
 import sys
 import time
 from collections.abc import Callable
+from statistics import median_high
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -113,11 +114,6 @@
         return time.process_time() - began - (self.spent - before)
 
 
-def _best(times: list[float]) -> float:
-    """The middle one: what is typical, whatever else the machine did."""
-    return sorted(times)[len(times) // 2]
-
-
 def measure(machines: int) -> dict[str, float]:
     """One row of the table, in the units of HEADINGS."""
     from meadowcross.common.types import NodeName
@@ -230,12 +226,12 @@
         "machines": machines,
         "report_us": histogram.get_value_at_percentile(50) / 1e3,
         "report_p99_us": histogram.get_value_at_percentile(99) / 1e3,
-        "changed_us": _best(changed) * 1e6,
-        "pass_1_us": _best(passes[1]) * 1e6,
-        "pass_10_us": _best(passes[10]) * 1e6,
-        "idle_pass_us": _best(idle) * 1e6,
-        "tick_us": _best(ticks) * 1e6,
-        "fleet_tick_us": _best(fleet_ticks) * 1e6,
+        "changed_us": median_high(changed) * 1e6,
+        "pass_1_us": median_high(passes[1]) * 1e6,
+        "pass_10_us": median_high(passes[10]) * 1e6,
+        "idle_pass_us": median_high(idle) * 1e6,
+        "tick_us": median_high(ticks) * 1e6,
+        "fleet_tick_us": median_high(fleet_ticks) * 1e6,
         "takeover_ms": took * 1e3,
         "memory_mb": held,
         "requests": requests / (rounds * tasks),
--- a/measure/day.py
+++ b/measure/day.py
@@ -152,7 +152,7 @@
             spent["never up"] += rate * (gone - machine.rented)
             continue
         spent["boot"] += rate * (up - machine.rented)
-        paid = rate * (gone - up)
+        in_use = rate * (gone - up)
         used = 0.0
         for run in machine.runs:
             job = day.jobs.get(run.job)
@@ -164,7 +164,12 @@
         last = max((run.ended for run in machine.runs), default=up)
         after = rate * max(0.0, gone - last)
         spent["empty at the end"] += after
-        spent["room unused, fetches"] += max(0.0, paid - used - after)
+        spent["room unused, fetches"] += max(0.0, in_use - used - after)
         if not spot:
             spent["(of all: ordinary machines)"] += rate * (gone - machine.rented)
     return dict(spent)
+
+
+def paid(spent: dict[str, float]) -> float:
+    """All that was paid; what stands in brackets is told a second time there."""
+    return sum(value for key, value in spent.items() if not key.startswith("("))
