--- a/meadowcross/estimates/finish.py
+++ b/meadowcross/estimates/finish.py
@@ -8,7 +8,7 @@
 from meadowcross.common.types import Seconds
 from meadowcross.estimates.curve import Curve
 
-MAX_LOOKED_AT = 64
+MAX_LOOKED_AT = 16
 """Of thousands of running tasks so many tell enough."""
 
 
--- a/meadowcross/estimates/learned.py
+++ b/meadowcross/estimates/learned.py
@@ -73,6 +73,9 @@
 SLOW_LOG = 0.35
 """A machine whose runs take e^0.35, 1.4 times, as long as all others' is slow: machines of one
 type differ by a tenth."""
+WORTH_COUNTING, ONE_OF = 0.02, 4
+"""Ends of a job that count for less are left out of its class, and only one of so many is
+looked at to see how the tasks of one job differ: most ends of a large array cost next to nothing."""
 FLEET_KEEP = 0.95
 MOST_OFF = 7.0
 """Logarithm of the largest error that is believed, a thousand times."""
@@ -82,6 +85,9 @@
 OVERDUE_GROWTH = 0.2
 """What is overdue is expected to last a fifth longer than it has, in logarithms."""
 KEPT_S: Seconds = 1.0
+JOB_KEPT_S: Seconds = 4.0
+"""What was worked out for a class, and for one job, is used again for so long."""
+MAX_KEPT_LEFTS = 2_000
 MAX_CLASSES = 1_000
 MAX_MACHINES = 5_000
 MAX_JOBS = 20_000
@@ -151,6 +157,29 @@
         self.mean = 0.0
 
 
+class _Kept:
+    """A job's curve for a few seconds, with what was asked of it: a leader asks the same of
+    thousands of tasks in every pass."""
+
+    __slots__ = ("_lefts", "at", "curve", "middle")
+
+    def __init__(self, at: float, curve: Curve) -> None:
+        self.at = at
+        self.curve = curve
+        self.middle = curve.at(TYPICAL)
+        self._lefts: dict[tuple[int, float], Seconds] = {}
+
+    def left(self, ran: Seconds, q: float) -> Seconds:
+        """As the curve says, `ran` taken to within half a second."""
+        key = (int(2 * ran), q)
+        left = self._lefts.get(key)
+        if left is None:
+            if len(self._lefts) >= MAX_KEPT_LEFTS:
+                self._lefts.clear()
+            left = self._lefts[key] = self.curve.left(key[0] / 2, q)
+        return left
+
+
 class _Level(NamedTuple):
     """Logs, and their mean, that still lack `guessed` times the logarithm of the owner's guess."""
 
@@ -174,7 +203,7 @@
         self._machines: OrderedDict[str, tuple[int, float]] = OrderedDict()
         self._fleet = 0.0
         self._levels: dict[tuple[str, str, str, str, bool], tuple[float, _Level, _Level]] = {}
-        self._by_job: dict[str, dict[str, tuple[float, Curve]]] = {}
+        self._by_job: dict[tuple[str, str], _Kept] = {}
         self.unsaved: dict[str, float] = {}
         """Entries that changed since they were stored, by how many ends."""
         self.dropped: set[str] = set()
@@ -183,23 +212,26 @@
     # What is asked
 
     def run(self, spec: JobSpec, q: float = TYPICAL) -> Seconds:
-        return self.curve_of(spec).at(q)
+        kept = self._kept(spec, "")
+        return kept.middle if q == TYPICAL else kept.curve.at(q)
 
     def left(self, spec: JobSpec, ran: Seconds, q: float = TYPICAL, machine_type: str = "") -> Seconds:
-        return self.curve_of(spec, machine_type).left(ran, q)
+        return self._kept(spec, machine_type).left(ran, q)
+
+    def curve_of(self, spec: JobSpec) -> Curve:
+        """A job's curve, at most some seconds old."""
+        return self._kept(spec, "").curve
 
-    def curve_of(self, spec: JobSpec, machine_type: str = "") -> Curve:
-        """A job's curve, at most a second old."""
+    def _kept(self, spec: JobSpec, machine_type: str) -> _Kept:
         now = self._clock.seconds()
         with self._lock:
-            kept = self._by_job.setdefault(spec.id, {})
-            at, curve = kept.get(machine_type, (-KEPT_S, None))
-            if curve is None or now - at >= KEPT_S:
-                curve = self.curve(kind_of(spec, machine_type))
-                kept[machine_type] = (now, curve)
-                if len(self._by_job) > MAX_JOBS:
+            kept = self._by_job.get((spec.id, machine_type))
+            if kept is None or now - kept.at >= JOB_KEPT_S:
+                if len(self._by_job) >= MAX_JOBS:
                     self._by_job.clear()
-            return curve
+                kept = _Kept(now, self.curve(kind_of(spec, machine_type)))
+                self._by_job[spec.id, machine_type] = kept
+            return kept
 
     def curve(self, kind: Kind) -> Curve:
         """The predicted distribution, with its stated intervals stretched to hold."""
@@ -330,11 +362,13 @@
             job = self._jobs.get(kind.job) if kind.job else None
             entry = self._made(m.class_name(kind.job_class))
             weight = _counts(entry, job)
-            self._see_widths(entry, kind, ran, job, weight, miss)
-            residual = max(-MOST_OFF, min(MOST_OFF, log(ran) - centre))
-            for name in _parts(kind):
-                self._see_part(entry, name, exp(residual), weight)
-            self._add(kind, ran, weight)
+            if weight >= WORTH_COUNTING or job is None or job.count % ONE_OF == 0:
+                self._see_widths(entry, kind, ran, job, weight, miss)
+            if weight >= WORTH_COUNTING:
+                residual = max(-MOST_OFF, min(MOST_OFF, log(ran) - centre))
+                for name in _parts(kind):
+                    self._see_part(entry, name, exp(residual), weight)
+                self._add(kind, ran, weight)
             if kind.job:
                 self._see_job(kind.job, job, miss)
 
@@ -356,7 +390,7 @@
             entry = self._made(name)
             entry.ends += weight
             if kind.guess > 0:
-                if entry.ratio.weight >= 3 and entry.time.weight >= 3:
+                if name.startswith("c/") and entry.ratio.weight >= 3 and entry.time.weight >= 3:
                     keep = min(TRUST_KEEP, 1 - 1 / (entry.ends + 1)) ** weight
                     by_ratio = min(MOST_OFF, abs(log(ran / kind.guess) - entry.ratio.logs()[MIDDLE]))
                     by_time = min(MOST_OFF, abs(log(ran) - entry.time.logs()[MIDDLE]))
@@ -377,7 +411,9 @@
             value = log(ran)
             for i, ((low, high), stated) in enumerate(zip(PAIRS, STATED, strict=True)):
                 outside = not curve.logs[low] <= value <= curve.logs[high]
-                step = STEP * max(weight, LEAST_STEP) * (stated if outside else stated - 1)
+                # One that is looked at for several stands for them.
+                worth = max(weight, LEAST_STEP) if weight >= WORTH_COUNTING else 1.0
+                step = STEP * worth * (stated if outside else stated - 1)
                 widths[i] = max(NARROWEST, min(WIDEST, widths[i] + step))
         keep = SPREAD_KEEP**weight
         entry.spread_all += (1 - keep) * (abs(miss) - entry.spread_all)
@@ -402,7 +438,6 @@
                 self._jobs.popitem(last=False)
         job.count += 1
         job.mean += (miss - job.mean) / min(job.count, 16)
-        self._by_job.pop(name, None)
 
     def _slow(self, machine: str, miss: float) -> bool:
         """Whether the machine's runs take longer than everybody's by more than machines differ:
@@ -438,7 +473,8 @@
     def forget(self, job: JobId) -> None:
         with self._lock:
             self._jobs.pop(job, None)
-            self._by_job.pop(job, None)
+            # What was kept of it for some seconds goes when the next is worked out.
+            self._by_job.pop((job, ""), None)
 
     # Entries and their records
 
@@ -581,7 +617,7 @@
         return 1.0
     alike = 1 - min(1.0, entry.spread_in_job / max(entry.spread_all, 1e-3)) ** 2
     before, after = (n / (1 + (n - 1) * alike) for n in (job.count, job.count + 1))
-    return max(1e-3, after - before)
+    return after - before
 
 
 def _lean(level: _Level, own: Logs, centre: float, weight: float, known: float, guessed: float) -> _Level:
--- a/meadowcross/estimates/sketch.py
+++ b/meadowcross/estimates/sketch.py
@@ -20,6 +20,8 @@
 """From the largest value down to a twenty-thousandth of it; what is smaller shares the last bin."""
 LEAST, MOST = 1e-3, 1e9
 SCALE_AT = 1e9
+STALE = 0.03
+"""Quantiles are worked out anew once so much of the weight is new."""
 FADED = 1e-3
 """Bins that weigh less than this share of one end are left out when stored."""
 
@@ -33,7 +35,7 @@
 class Decayed:
     """Values of ends, each of which weighs half after `half_life` more of them."""
 
-    __slots__ = ("_growth", "_half_life", "_logs", "_store", "_unit")
+    __slots__ = ("_growth", "_half_life", "_logs", "_store", "_unit", "_unseen")
 
     def __init__(self, half_life: float) -> None:
         self._half_life = half_life
@@ -42,6 +44,8 @@
         self._unit = 1.0
         """What one end of now weighs in the store."""
         self._logs: Logs | None = None
+        self._unseen = 0.0
+        """Weight that came since the quantiles were worked out."""
 
     @property
     def weight(self) -> float:
@@ -51,7 +55,11 @@
     def add(self, value: float, weight: float = 1.0) -> None:
         """An end that counts for less also makes the others fade less."""
         self._unit *= self._growth**weight
-        self._put(_MAPPING.key(min(MOST, max(LEAST, value))), weight * self._unit)
+        self._store.add(_MAPPING.key(min(MOST, max(LEAST, value))), weight * self._unit)
+        self._unseen += weight
+        if self._unseen > STALE * self.weight:
+            # A scan of all bins at each end was the largest part of what learning cost.
+            self._logs = None
         if self._unit > SCALE_AT:
             self._restore(self.bins())
 
@@ -94,6 +102,7 @@
         """The quantiles at the grid; only asked of a sketch that holds something."""
         if self._logs is None:
             self._logs = self._work_out()
+            self._unseen = 0.0
         return self._logs
 
     def _work_out(self) -> Logs:
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -390,8 +390,12 @@
                 self._renting[request] = rental
                 Deferred.fromCoroutine(self._rent_one(request, rental))
 
+    def may_rent(self, kind: MachineKind) -> bool:
+        """Whether the cloud has not refused the kind just now."""
+        return self._closed.get(kind, 0.0) <= self.now
+
     def _open(self, kind: MachineKind) -> bool:
-        return self._tick.running and self._closed.get(kind, 0.0) <= self.now
+        return self._tick.running and self.may_rent(kind)
 
     async def _rent_one(self, request: str, rental: Rental) -> None:
         kind = rental.kind
--- a/meadowcross/leadership/outlook.py
+++ b/meadowcross/leadership/outlook.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from math import inf
 
 from meadowcross.common.clock import Clock
 from meadowcross.common.logging import logger
@@ -15,8 +16,9 @@
 from meadowcross.estimates.finish import Ends, Left, middle_of
 from meadowcross.estimates.learned import Learned
 from meadowcross.estimates.samples import ran
-from meadowcross.fleet.boots import Boots
+from meadowcross.fleet.manager import FleetManager
 from meadowcross.fleet.messages import MachineType
+from meadowcross.fleet.sizing import kinds_of
 from meadowcross.jobs.book import Book, Job, Phase
 from meadowcross.jobs.messages import Kind
 from meadowcross.leadership.view import View
@@ -25,7 +27,7 @@
 
 log = logger("estimates")
 
-PICTURE_S: Seconds = 2.0
+PICTURE_S: Seconds = 4.0
 """What all jobs' times rest on is worked out so often, and only if somebody asks."""
 WAITING, PLACED = "waiting", "placed"
 SETTLED_S: Seconds = 2.0
@@ -40,7 +42,13 @@
     """What stands before each waiting job, and which machines there are."""
 
     def __init__(
-        self, at: Instant, view: View, roster: Roster, types: list[MachineType], boot: Callable[[MachineType], Seconds]
+        self,
+        at: Instant,
+        view: View,
+        roster: Roster,
+        types: list[MachineType],
+        boot: Callable[[MachineType], Seconds],
+        open_kinds: Callable[[MachineKind], bool],
     ) -> None:
         self.at = at
         self.rooms = view.rooms()
@@ -58,27 +66,36 @@
                 left = max(0.0, boot(machine.type) - (at - machine.rented_at))
                 self.boots[machine.kind] = min(left, self.boots.get(machine.kind, left))
         self.types = {t.name: t for t in types}
-        self.first_boot = min((boot(t) for t in types), default=0.0)
+        self.boot = boot
+        self.rentable = [(kind, t) for kind, t in kinds_of(types) if open_kinds(kind)]
+        """What would be rented for work that finds no room."""
         self.ahead: dict[JobId, Seconds] = {}
         ahead = 0.0
         for want in sorted(view.wants(), key=order):
             self.ahead[want.job] = ahead / cpus if cpus > 0 else 0.0
             ahead += want.count * want.spec.cpus * want.run_s
 
-    def slots_for(self, job: Job) -> int:
-        """How many of its tasks the machines that are up would hold if they were empty."""
+    def room_for(self, job: Job) -> tuple[int, Seconds]:
+        """How many of its tasks have room at once, and when its waiting tasks' turn comes.
+
+        What finds no room is rented for, so its turn comes after a boot at the latest, unless
+        the cloud has just refused all that it may run on; then it waits for what is ahead."""
         spec = job.spec
-        return sum(
+        there = sum(
             count * slots(spec, t.cpus, t.gpus, t.memory_gb)
             for kind, count in self.up.items()
             if allowed(spec, kind) and (t := self.types.get(kind.type)) is not None
         )
-
-    def turn_of(self, job: Job, there: int) -> Seconds:
-        if there > 0:
-            return self.ahead.get(job.id, 0.0)
-        boots = [left for kind, left in self.boots.items() if allowed(job.spec, kind)]
-        return self.ahead.get(job.id, 0.0) + (min(boots) if boots else self.first_boot)
+        turn = self.ahead.get(job.id, 0.0)
+        boots = [left for kind, left in self.boots.items() if allowed(spec, kind)]
+        rentable = [
+            self.boot(t)
+            for kind, t in self.rentable
+            if allowed(spec, kind) and slots(spec, t.cpus, t.gpus, t.memory_gb) > 0
+        ]
+        if rentable:
+            return max(there, spec.tasks), min(turn if there else inf, *boots, *rentable)
+        return there, turn if there or not boots else turn + min(boots)
 
 
 class Outlooks:
@@ -89,7 +106,7 @@
         roster: Roster,
         view: View,
         types: Callable[[], list[MachineType]],
-        boots: Boots,
+        fleet: FleetManager,
         learned: Learned,
     ) -> None:
         self._clock = clock
@@ -97,11 +114,11 @@
         self._roster = roster
         self._view = view
         self._types = types
-        self._boots = boots
+        self._fleet = fleet
         self._learned = learned
         self._picture: _Picture | None = None
         self._worked_out = 0
-        self._told: dict[JobId, tuple[Instant, Ends]] = {}
+        self._told: dict[JobId, tuple[Instant, Ends, str]] = {}
         self._middles: dict[JobId, Seconds] = {}
         """As worked out last, before what was learned of such times moved them."""
         self._kept: dict[JobId, dict[str, tuple[Instant, Ends, Seconds]]] = {}
@@ -118,7 +135,8 @@
             return None
         now = self._now
         told = self._told.get(name)
-        if told is None or now - told[0] >= PICTURE_S:
+        stage = self._stage(job)
+        if told is None or now - told[0] >= PICTURE_S or told[2] != stage:
             if self._picture is None or now - self._picture.at >= PICTURE_S:
                 self._worked_out = 0
             if self._worked_out >= MAX_WORKED_OUT:
@@ -126,21 +144,23 @@
             self._worked_out += 1
             if len(self._told) > MAX_KEPT:
                 self._told.clear()
-            told = self._told[name] = (now, self._work_out(job, now))
+            told = self._told[name] = (now, self._work_out(job, stage, now), stage)
         return self._aged(told, now)
 
     @staticmethod
-    def _aged(told: tuple[Instant, Ends], now: Instant) -> Ends:
+    def _aged(told: tuple[Instant, Ends, str], now: Instant) -> Ends:
         return Ends(*(max(0.0, one - (now - told[0])) for one in told[1]))
 
-    def _work_out(self, job: Job, now: Instant) -> Ends:
+    def _work_out(self, job: Job, stage: str, now: Instant) -> Ends:
         if self._picture is None or now - self._picture.at >= PICTURE_S:
             types = self._types()
-            self._picture = _Picture(now, self._view, self._roster, types, lambda t: self._boots.expected(t, now))
+            self._picture = _Picture(
+                now, self._view, self._roster, types, lambda t: self._fleet.boots.expected(t, now), self._fleet.may_rent
+            )
         picture = self._picture
         spec = job.spec
         lasted = [ran(job, p, now) for p in job.placed.values() if p.phase in (Phase.RUNNING, Phase.SAVING)]
-        there = picture.slots_for(job)
+        there, turn = picture.room_for(job)
         room = picture.rooms.get(spec.team)
         free = room.tasks(spec) if room is not None else job.waiting_count
         fetches = [spec.image_gb / max(t.fetch_gb_per_s, 0.01) for t in picture.types.values()]
@@ -149,16 +169,17 @@
             len(job.placed) - len(lasted),
             lasted,
             min(len(job.placed) + free, max(there, len(job.placed))),
-            picture.turn_of(job, there) if job.waiting_count else 0.0,
+            turn if job.waiting_count else 0.0,
             min(fetches, default=0.0),
         )
         middle = max(LEAST_S, middle_of(left, self._learned.curve_of(spec), self._learned.alike(spec)))
         self._middles[job.id] = middle
-        return Ends(*self._learned.foresee(self._stage(job), middle))
+        return Ends(*self._learned.foresee(stage, middle))
 
     @staticmethod
     def _stage(job: Job) -> str:
-        return WAITING if job.waiting_count else PLACED
+        """Told apart by priority too: what is stopped for others is off in its own way."""
+        return f"{WAITING if job.waiting_count else PLACED}/{job.spec.priority.value}"
 
     def look(self) -> None:
         """Keep what is said of each job at the first moment of each stage, to be judged by when
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -108,7 +108,7 @@
         self._outlooks: Outlooks | None = None
         if self._learned is not None:
             self._outlooks = Outlooks(
-                reactor, self.book, self.roster, self.view, types, self.fleet.boots, self._learned
+                reactor, self.book, self.roster, self.view, types, self.fleet, self._learned
             )
         self.loaded = False
         self._stopped = False
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -235,6 +235,7 @@
                 continue
             saved = spec.checkpoint_s
             save_s = spec.save_s if saved > 0 else None
+            almost = max(ALMOST_DONE_S, self._runs.run(spec) - ALMOST_DONE_S)
             for placement in job.placed.values():
                 if placement.stop_at is not None or placement.phase not in (Phase.RUNNING, Phase.FETCHING):
                     continue
@@ -245,7 +246,9 @@
                 if not there:
                     continue
                 lasted = ran(job, placement, now)
-                if lasted > ALMOST_DONE_S and self._runs.left(spec, lasted) < ALMOST_DONE_S:
+                # Half of what has lasted this long takes more than half of all: only past that is
+                # it worth asking what is left.
+                if lasted > almost and self._runs.left(spec, lasted) < ALMOST_DONE_S:
                     continue
                 lost = lasted % saved if saved > 0 else lasted
                 victims.append(
