--- a/meadowcross/estimates/learned.py
+++ b/meadowcross/estimates/learned.py
@@ -82,6 +82,7 @@
 OVERDUE_Q = 0.9
 OVERDUE_COUNTS = 10.0
 """Overdue runs are weighed against at most so many ends."""
+MAX_OVERDUE = 32
 OVERDUE_GROWTH = 0.2
 """What is overdue is expected to last a fifth longer than it has, in logarithms."""
 KEPT_S: Seconds = 1.0
@@ -120,6 +121,9 @@
     return Kind(spec.job_class, spec.team, shape, machine_type, spec.estimate_s, spec.id)
 
 
+Overdue = list[tuple[float, float]]
+
+
 class Entry:
     """What was learned of a class, a team or everything."""
 
@@ -139,7 +143,7 @@
         self.widths = [[0.0, 0.0, 0.0], [0.0, 0.0, 0.0]]
         """Logarithms of what the stated intervals are stretched by: a job's first end; the others."""
         self.parts: OrderedDict[str, Decayed] = OrderedDict()
-        self.overdue: list[tuple[float, float]] = []
+        self.overdue: Overdue = []
         """Of jobs that run longer than expected: logarithm over the middle, and weight."""
 
     @property
@@ -150,11 +154,14 @@
 class _Job:
     """What a job's own tasks have shown, against what its class said then."""
 
-    __slots__ = ("count", "mean")
+    __slots__ = ("count", "mean", "overdue")
 
     def __init__(self) -> None:
         self.count = 0
         self.mean = 0.0
+        self.overdue: Overdue = []
+        """Of its own tasks that run longer than the others took: short ones end first, and the
+        rest of an array once always took longer than was said."""
 
 
 class _Kept:
@@ -243,9 +250,13 @@
                 return Curve(self._with_job(logs, job, None))
             widths = entry.widths[1 if job is not None else 0]
             logs = widened(self._with_job(logs, job, entry), (exp(widths[0]), exp(widths[1]), exp(widths[2])))
-            if entry.overdue and job is None:
-                logs = _with_overdue(logs, entry)
-            return Curve(logs)
+            return Curve(self._with_overdue(logs, entry, job))
+
+    @staticmethod
+    def _with_overdue(logs: Logs, entry: Entry, job: _Job | None) -> Logs:
+        if job is not None:
+            return with_overdue(logs, job.overdue, job.count) if job.overdue else logs
+        return with_overdue(logs, entry.overdue, entry.time.weight) if entry.overdue else logs
 
     def _with_job(self, logs: Logs, job: _Job | None, entry: Entry | None) -> Logs:
         """Moved to where the job's own ends lie, and narrowed as far as its class's jobs are
@@ -458,11 +469,12 @@
         overdue: dict[str, list[tuple[float, float]]] = {}
         with self._lock:
             for spec, lasted in running:
-                if spec.id in self._jobs:
-                    continue
-                logs = self._expected(kind_of(spec))[1]
+                job = self._jobs.get(spec.id)
+                logs = self._with_job(self._expected(kind_of(spec))[1], job, self._entry(m.class_name(spec.job_class)))
                 late = [ran for ran in lasted if ran > LEAST_S and log(ran) > logs[GRID.index(OVERDUE_Q)]]
-                if late:
+                if job is not None:
+                    job.overdue = [(log(ran) - logs[MIDDLE], 1.0) for ran in sorted(late)[:MAX_OVERDUE]]
+                elif late:
                     # As of ends: alike tasks of one job count for little more than one.
                     weight = sum(1.0 / (i + 1) for i in range(min(len(late), 100)))
                     over = log(sorted(late)[len(late) // 2]) - logs[MIDDLE]
@@ -637,17 +649,17 @@
     return _Level(ascending(logs), centre, level.guessed)
 
 
-def _with_overdue(logs: Logs, entry: Entry) -> Logs:
-    """As if the overdue runs had ended a little later than now."""
-    count = max(1.0, min(OVERDUE_COUNTS, entry.time.weight))
-    late = sum(weight for _, weight in entry.overdue)
+def with_overdue(logs: Logs, overdue: Overdue, ends: float) -> Logs:
+    """As if the overdue runs had ended a little later than now, beside so many ends."""
+    count = max(1.0, min(OVERDUE_COUNTS, ends))
+    late = sum(weight for _, weight in overdue)
     curve = Curve(logs)
     moved = []
     for q in GRID:
         rank = q * (count + late) / count
         value = curve.log_at(min(rank, GRID[-1]))
         if rank > OVERDUE_Q:
-            over = entry.overdue[min(len(entry.overdue) - 1, int(len(entry.overdue) * (rank - OVERDUE_Q)))][0]
+            over = overdue[min(len(overdue) - 1, int(len(overdue) * (rank - OVERDUE_Q)))][0]
             value = max(value, logs[MIDDLE] + over + OVERDUE_GROWTH)
         moved.append(value)
     return ascending(tuple(moved))
--- a/meadowcross/estimates/plot.py
+++ b/meadowcross/estimates/plot.py
@@ -45,6 +45,6 @@
         figure.supylabel("seconds")
         figure.tight_layout()
         try:
-            figure.savefig(path, metadata={"Date": None} if path.endswith(".svg") else None)
+            figure.savefig(path, dpi=90, metadata={"Date": None} if path.endswith(".svg") else None)
         finally:
             pyplot.close(figure)
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -186,6 +186,21 @@
     assert learned.curve(kind(job_name="wk-000010")).at(0.5) < 70
 
 
+def test_the_rest_of_an_array_takes_longer_than_what_ended_first():
+    learned = taught(noisy(1, 40, 100, 0.5))
+    spec = msgspec.structs.replace(SPEC, id="wk-000009")
+    for seconds in (30.0, 31.0, 32.0, 33.0):
+        learned.done(spec, seconds, MachineId("i-1"), "")
+    learned._clock.advance(5.0)
+    before = learned.run(spec)
+    learned.watch([(spec, [70.0] * 12)])
+    learned._clock.advance(5.0)
+    assert learned.run(spec) > 1.5 * before
+    learned.watch([])
+    learned.forget("wk-000009")
+    assert learned.run(spec) == learned.run(SPEC)
+
+
 def test_two_sketches_merged_say_what_one_would():
     values = noisy(4, 40, 60)
     whole, first, second = Decayed(64.0), Decayed(64.0), Decayed(64.0)
