Tickets: Open Job Description templates read, checked and mapped to native jobs

Change: slice tickets/: documents read by the format's library behind limits that hold before anything is expanded (size, depth, aliases, tags, keys twice, steps, tasks counted, not listed); the site's mapping of submitters (XML); steps to arrays, requirements to cpus, memory, gpus, types, zone, refused by field with what to write instead; meadowcross ticket check, explain; a dozen examples. Users' questions for finish times are answered from what was said for 15 s.

--- a/meadowcross/cli.py
+++ b/meadowcross/cli.py
@@ -29,8 +29,10 @@
     run.set_defaults(act=_run)
     # Only the command's own options: what it needs is imported when it is carried out.
     from meadowcross.estimates import cli as estimates
+    from meadowcross.tickets import cli as tickets
 
     estimates.add(commands.add_parser("estimates", help="learned run times: replay, show, reset"))
+    tickets.add(commands.add_parser("ticket", help="render-farm job tickets: check, explain"))
     return options
 
 
--- a/meadowcross/leadership/outlook.py
+++ b/meadowcross/leadership/outlook.py
@@ -29,12 +29,15 @@
 
 PICTURE_S: Seconds = 4.0
 """What all jobs' times rest on is worked out so often, and only if somebody asks."""
+TOLD_S: Seconds = 15.0
+"""A job's time is told for so long, less what has passed: users ask every five seconds or so, and each
+question once cost a tenth of what a task costs."""
 WAITING, PLACED = "waiting", "placed"
 SETTLED_S: Seconds = 2.0
 """A job's first time is kept for judging once it has been open for so long."""
 LEAST_S: Seconds = 1.0
 MAX_KEPT = 20_000
-MAX_WORKED_OUT = 200
+MAX_WORKED_OUT = 100
 """In each such period; who asks beyond that gets what was said last, or nothing."""
 
 
@@ -136,7 +139,7 @@
         now = self._now
         told = self._told.get(name)
         stage = self._stage(job)
-        if told is None or now - told[0] >= PICTURE_S or told[2] != stage:
+        if told is None or now - told[0] >= TOLD_S or told[2] != stage:
             if self._picture is None or now - self._picture.at >= PICTURE_S:
                 self._worked_out = 0
             if self._worked_out >= MAX_WORKED_OUT:
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -64,7 +64,7 @@
 WARM_AGAIN_S: Seconds = 0.1
 TICK_S: Seconds = 0.5
 WATCH_S: Seconds = 20.0
-WATCH_RUNS_S: Seconds = 2.0
+WATCH_RUNS_S: Seconds = 4.0
 CANCEL_SHARE = 0.5
 BAD_MACHINE = "it failed what fares well elsewhere"
 
--- /dev/null
+++ b/meadowcross/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Render-farm job tickets (Open Job Description, 2023-09) as native jobs (docs/tickets.md)."""
--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,241 @@
+"""Tickets: what is read, what is refused and by which field, what native jobs they become."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from meadowcross.cli import main
+from meadowcross.common.settings import SettingsError, Team
+from meadowcross.fleet.messages import decode_types
+from meadowcross.jobs import messages as jm
+from meadowcross.jobs.api import refusal
+from meadowcross.jobs.messages import decode_spec, encode
+from meadowcross.tickets.plan import native, plan_of
+from meadowcross.tickets.reading import MAX_BYTES, TicketError, job_of, task_parameters
+from meadowcross.tickets.site import load
+from tests.standins import TYPES
+
+ROOT = Path(__file__).parent.parent
+SITE = load(str(ROOT / "deploy" / "tickets.xml"))
+AGENCY = SITE.submitters[0]
+EXAMPLES = sorted((ROOT / "examples" / "tickets").iterdir())
+KINDS = decode_types(encode({"builds": TYPES})).types
+LONG = int(os.environ.get("MEADOWCROSS_EXAMPLES", "0"))
+
+HEAD = "specificationVersion: jobtemplate-2023-09\nname: x\n"
+RUN = "  script: {actions: {onRun: {command: echo}}}\n"
+STEP = "steps:\n- name: a\n" + RUN
+
+
+def acceptable(plan):
+    """Every step's job is one that a controller takes."""
+    for number in range(len(plan.steps)):
+        spec = decode_spec(encode(native(plan, number, f"wk-{number:06d}", AGENCY)))
+        assert refusal(spec, {"b": Team("b")}, KINDS, ["east", "west"]) is None
+        assert (spec.team, spec.job_class, spec.priority) == ("b", "thumbnail", jm.Priority.NORMAL)
+    return plan
+
+
+SHAPES = {
+    # example: tasks of each step, and what each waits for
+    "01-one-step.yaml": ([1], [[]]), "02-frames.yaml": ([100], [[]]), "03-chunks.yaml": ([20], [[]]),
+    "04-two-parameters.yaml": ([6], [[]]), "05-paired.yaml": ([3], [[]]),
+    "06-chain.yaml": ([1, 8, 1], [[], [0], [1]]), "07-diamond.yaml": ([1, 1, 1, 1], [[], [0], [0], [1, 2]]),
+    "08-host.yaml": ([1], [[]]), "09-zone-and-type.yaml": ([1], [[]]), "10-files-and-environment.yaml": ([1], [[]]),
+    "11-bounded-parameters.yaml": ([1], [[]]), "12-json.json": ([16], [[]]),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("file", EXAMPLES, ids=[file.name for file in EXAMPLES])
+def test_every_example_becomes_jobs_that_controllers_take(file, capsys):
+    plan = acceptable(plan_of(file.read_bytes(), {}, AGENCY))
+    assert ([s.tasks for s in plan.steps], [s.after for s in plan.steps]) == SHAPES[file.name]
+    arguments = [str(file), "--site", str(ROOT / "deploy" / "tickets.xml")]
+    assert main(["ticket", "check", *arguments]) == 0 and main(["ticket", "explain", *arguments]) == 0
+    assert plan.name in capsys.readouterr().out
+    assert main(["ticket", "check", "--json", *arguments]) == 0
+    assert json.loads(capsys.readouterr().out)["team"] == "b"
+
+
+def test_what_a_step_asks_for_is_what_its_job_gets():
+    host = plan_of((ROOT / "examples/tickets/08-host.yaml").read_bytes(), {}, AGENCY).steps[0]
+    assert (host.cpus, host.memory_gb, host.gpus, host.types, host.zone) == (4.0, 8.0, 0.0, None, None)
+    bound = plan_of((ROOT / "examples/tickets/09-zone-and-type.yaml").read_bytes(), {}, AGENCY)
+    spec = native(bound, 0, "wk-000001", AGENCY)
+    assert (spec.types, spec.zone, spec.cpus, spec.memory_gb) == (["small", "large"], "east", 1.0, 2.0)
+    kept = plan_of((ROOT / "examples/tickets/10-files-and-environment.yaml").read_bytes(), {}, AGENCY).steps[0].kept
+    assert kept == ["script", "environments Tools", "files Script", "timeout 600 s"]
+
+
+@pytest.mark.parametrize(
+    ("file", "number", "parameters"),
+    [("02-frames.yaml", 41, {"Frame": "42"}), ("03-chunks.yaml", 19, {"Images": "951-1000"}),
+     ("05-paired.yaml", 2, {"Name": "c", "Number": "3"}), ("01-one-step.yaml", 0, {})],
+)  # fmt: skip
+def test_a_tasks_parameters_follow_from_its_number(file, number, parameters):
+    job = job_of((ROOT / "examples/tickets" / file).read_bytes(), {})
+    assert task_parameters(job.steps[0], number) == parameters
+
+
+def ranged(first, second="1"):
+    return (
+        HEAD + "steps:\n- name: a\n  parameterSpace:\n    taskParameterDefinitions:\n"
+        f'    - {{name: F, type: INT, range: "{first}"}}\n    - {{name: G, type: INT, range: "{second}"}}\n' + RUN
+    )
+
+
+def asking(amounts="", attributes=""):
+    inside = f"amounts: [{amounts}]" if amounts else f"attributes: [{attributes}]"
+    return HEAD + "steps:\n- name: a\n  hostRequirements:\n    " + inside + "\n" + RUN
+
+
+BOUNDED = HEAD + "parameterDefinitions:\n- {name: N, type: INT, maxValue: 5}\n" + STEP
+REFUSED = [
+    # name, document, parameters, field, a word of what is wrong
+    ("not YAML", "a: [1", {}, "document", ""),
+    ("a list", "[1, 2]", {}, "document", ""),
+    ("empty", "", {}, "document", ""),
+    ("no text", b"\xff\xfe", {}, "document", "UTF-8"),
+    ("too large", HEAD + "# " + "x" * MAX_BYTES, {}, "document", "at most"),
+    ("an alias", HEAD + "description: &a x\n" + STEP, {}, "line 3", "aliases"),
+    ("a bomb", "a: &a [x,x]\nb: &b [*a,*a]\nc: [*b,*b]\n", {}, "line 1", "aliases"),
+    ("a tag", HEAD + "description: !!python/object:os.system x\n" + STEP, {}, "line 3", "tag"),
+    ("two documents", HEAD + STEP + "---\n" + HEAD + STEP, {}, "line", "second"),
+    ("a key twice", HEAD + "name: y\n" + STEP, {}, "line 3", "twice"),
+    ("a key twice in JSON", '{"name": "a", "name": "b"}', {}, "document", "twice"),
+    ("deep", "a: " + "[" * 40 + "]" * 40, {}, "line 1", "deeper"),
+    ("deep JSON", '{"a": ' + "[" * 9000 + "]" * 9000 + "}", {}, "document", ""),
+    ("another version", "specificationVersion: jobtemplate-2029-01\nname: x\n", {}, "specificationVersion", "2023-09"),
+    ("an environment", "specificationVersion: environment-2023-09\n", {}, "specificationVersion", "expected"),
+    ("an unknown extension", HEAD + "extensions: [NONSENSE]\n" + STEP, {}, "extensions", "NONSENSE"),
+    ("an unknown field", HEAD + STEP + "  colour: red\n", {}, "steps[0].colour", "not permitted"),
+    ("a wrong type", HEAD + "steps: 3\n", {}, "steps", ""),
+    ("no steps", HEAD + "steps: []\n", {}, "steps", ""),
+    ("many steps", HEAD + "steps:\n" + "".join(f"- name: s{i}\n{RUN}" for i in range(65)), {}, "steps", "at most"),
+    ("no command", HEAD + "steps:\n- name: a\n  script: {actions: {onRun: {}}}\n", {}, "command", "required"),
+    ("a cycle", HEAD + "steps:\n- name: a\n  dependencies: [{dependsOn: b}]\n" + RUN
+     + "- name: b\n  dependencies: [{dependsOn: a}]\n" + RUN, {}, "steps", "cycle"),
+    ("itself", HEAD + "steps:\n- name: a\n  dependencies: [{dependsOn: a}]\n" + RUN, {}, "steps[0]", "itself"),
+    ("an unknown step", HEAD + "steps:\n- name: a\n  dependencies: [{dependsOn: b}]\n" + RUN, {}, "steps[0]", "'b'"),
+    ("no tasks", ranged(""), {}, "range", ""),
+    ("a billion billion tasks", ranged("1-1000000000", "1-1000000000"), {}, "steps[0].parameterSpace", "may have 1000"),
+    ("more than can be counted", ranged("1-9000000000000", "1-9000000000000"), {}, "steps[0].parameterSpace", ""),
+    ("a parameter too large", BOUNDED, {"N": "9"}, "parameters.N", "at most 5"),
+    ("a parameter missing", BOUNDED, {}, "parameters", "N"),
+    ("a parameter too many", HEAD + STEP, {"Z": "1"}, "parameters", "Z"),
+    ("a maximum", asking("{name: amount.worker.vcpu, min: 1, max: 4}"), {}, "amounts[0].max", "leave max out"),
+    ("too many CPUs", asking("{name: amount.worker.vcpu, min: 17}"), {}, "amounts[0].min", "may have 16"),
+    ("too much memory", asking("{name: amount.worker.memory, min: 66000}"), {}, "amounts[0].min", "may have 65536"),
+    ("scratch space", asking("{name: amount.worker.disk.scratch, min: 1}"), {}, "amounts[0].name", "ask for"),
+    ("windows", asking("", "{name: attr.worker.os.family, anyOf: [windows]}"), {}, "attributes[0]", "linux"),
+    ("two zones", asking("", "{name: attr.meadowcross.zone, anyOf: [east, west]}"), {}, "attributes[0]", "one zone"),
+    ("a foreign zone", asking("", "{name: attr.meadowcross.zone, anyOf: [mars]}"), {}, "attributes[0]", "east, west"),
+    ("a foreign type", asking("", "{name: attr.meadowcross.type, anyOf: [huge]}"), {}, "attributes[0]", "small"),
+    ("an unknown attribute", asking("", "{name: attr.mine, anyOf: [x]}"), {}, "attributes[0].name", "not known"),
+]
+
+
+@pytest.mark.parametrize(
+    ("text", "parameters", "field", "word"), [r[1:] for r in REFUSED], ids=[r[0] for r in REFUSED]
+)
+def test_what_cannot_be_taken_is_refused_by_its_field_in_one_line(text, parameters, field, word, tmp_path, capsys):
+    raw = text if isinstance(text, bytes) else text.encode()
+    with pytest.raises(TicketError) as refused:
+        plan_of(raw, parameters, AGENCY)
+    assert field in refused.value.field and word in refused.value.what
+    file = tmp_path / "ticket"
+    file.write_bytes(raw)
+    given_ = [part for name, value in parameters.items() for part in ("-p", f"{name}={value}")]
+    assert main(["ticket", "check", str(file), "--site", str(ROOT / "deploy/tickets.xml"), *given_]) == 2
+    assert len(capsys.readouterr().err.splitlines()) == 1
+
+
+SITES = [
+    ("<x/>", "expected <tickets>"),
+    ("<tickets><submitter><name>a</name></submitter></tickets>", "missing"),
+    ("<tickets><submitter><name>a</name><name>b</name></submitter></tickets>", "twice"),
+    ("<tickets><submitter><secret>a</secret></submitter></tickets>", "unknown"),
+    ("<tickets><other/></tickets>", "expected <submitter>"),
+    ('<!DOCTYPE x [<!ENTITY e "x">]><tickets>&e;</tickets>', "refused"),
+    ("<tickets>", "well-formed"),
+]
+
+
+@pytest.mark.parametrize(("text", "word"), SITES, ids=[s[1] for s in SITES])
+def test_a_wrong_site_file_is_refused_by_its_element(text, word, tmp_path):
+    file = tmp_path / "site.xml"
+    file.write_text(text)
+    with pytest.raises(SettingsError, match=word):
+        load(str(file))
+
+
+@pytest.mark.parametrize(
+    ("arguments", "word"),
+    [(["{0}", "-p", "X"], "NAME=VALUE"), (["{0}", "-p", "X=1", "-p", "X=2"], "twice"), (["{0}/none"], "can't be read"),
+     (["{0}", "--submitter", "nobody"], "nobody"), (["{0}", "--site", "{0}/none"], "can't be read")],
+)  # fmt: skip
+def test_what_the_command_cannot_do_it_says_in_one_line(arguments, word, capsys):
+    example = str(EXAMPLES[0])
+    assert main(["ticket", "check", *[one.format(example) for one in arguments]]) == 2
+    err = capsys.readouterr().err
+    assert word in err and len(err.splitlines()) == 1
+
+
+NAMES = st.sampled_from(["a", "b", "c", "Frame", "é", "", "x" * 70, "{{Param.N}}"])
+RANGES = st.one_of(
+    st.sampled_from(["1-10", "1-1000000", "10-1", "", "5", "1-10:3", "{{Param.N}}"]),
+    st.lists(st.one_of(st.integers(-5, 5), NAMES), max_size=4),
+)
+AMOUNTS = st.fixed_dictionaries(
+    {"name": st.sampled_from(["amount.worker.vcpu", "amount.worker.memory", "amount.worker.gpu", "amount.mine", "x"])},
+    optional={"min": st.sampled_from([0, 1, 2.5, 16, 4096, -1, "x", 1e30]), "max": st.just(8)},
+)
+ATTRIBUTES = st.fixed_dictionaries(
+    {"name": st.sampled_from(["attr.worker.os.family", "attr.meadowcross.zone", "attr.meadowcross.type", "attr.x"])},
+    optional={"anyOf": st.lists(st.sampled_from(["linux", "east", "small", "mars"]), max_size=2),
+              "allOf": st.lists(st.sampled_from(["linux", "east", "large"]), max_size=2)},
+)  # fmt: skip
+STEPS = st.fixed_dictionaries(
+    {"name": NAMES, "script": st.sampled_from([{"actions": {"onRun": {"command": "x"}}}, {}, 3])},
+    optional={
+        "parameterSpace": st.fixed_dictionaries({"taskParameterDefinitions": st.lists(
+            st.fixed_dictionaries({"name": NAMES, "type": st.sampled_from(["INT", "STRING", "CHUNK[INT]", "x"]),
+                                   "range": RANGES}), max_size=3)}),
+        "dependencies": st.lists(st.fixed_dictionaries({"dependsOn": NAMES}), max_size=2),
+        "hostRequirements": st.fixed_dictionaries(
+            {}, optional={"amounts": st.lists(AMOUNTS, max_size=2), "attributes": st.lists(ATTRIBUTES, max_size=2)}),
+    },
+)  # fmt: skip
+TEMPLATES = st.fixed_dictionaries(
+    {"specificationVersion": st.just("jobtemplate-2023-09"), "name": NAMES,
+     "steps": st.lists(STEPS, min_size=1, max_size=4)},
+    optional={"extensions": st.lists(st.sampled_from(["TASK_CHUNKING", "X"]), max_size=2),
+              "parameterDefinitions": st.just([{"name": "N", "type": "STRING", "default": "1-5"}])},
+)  # fmt: skip
+
+
+@settings(max_examples=LONG or 200, deadline=None, derandomize=not LONG)
+@given(TEMPLATES)
+def test_whatever_is_accepted_maps_to_jobs_and_whatever_is_refused_names_a_field(template):
+    raw = json.dumps(template).encode()
+    try:
+        plan = acceptable(plan_of(raw, {}, AGENCY))
+    except TicketError as error:
+        assert error.field and error.what and "\n" not in str(error) and len(str(error)) < 600
+        return
+    job = job_of(raw, {})
+    for number, step in enumerate(plan.steps):
+        assert set(task_parameters(job.steps[number], step.tasks - 1)) is not None
+
+
+@settings(max_examples=LONG or 150, deadline=None, derandomize=not LONG)
+@given(st.one_of(st.binary(max_size=200), st.text("ab:{}[]&*!-\n \"'", max_size=80).map(str.encode)))
+def test_no_bytes_do_more_than_be_refused(raw):
+    with pytest.raises(TicketError):
+        plan_of(raw, {}, AGENCY)
