Ticket gateways: stored before accepted, claimed by partition, driven through kills

Change: a gateway process (meadowcross tickets serve): intake with limits, membership and claims on holds by rendezvous hashing, every write of an owner conditional on its claim, job ids stored before they are used, controllers asked in turn with growing pauses and a retry budget, questions shared; ticket submit, status, cancel. One reader for all operators' XML.

Left: keys and TLS (until then a gateway listens on loopback only).

--- a/meadowcross/cli.py
+++ b/meadowcross/cli.py
@@ -32,7 +32,8 @@
     from meadowcross.tickets import cli as tickets
 
     estimates.add(commands.add_parser("estimates", help="learned run times: replay, show, reset"))
-    tickets.add(commands.add_parser("ticket", help="render-farm job tickets: check, explain"))
+    tickets.add(commands.add_parser("ticket", help="render-farm job tickets: check, explain, submit, status, cancel"))
+    tickets.add_service(commands.add_parser("tickets", help="the ticket gateway: serve"))
     return options
 
 
--- /dev/null
+++ b/meadowcross/common/once.py
@@ -0,0 +1,32 @@
+"""Work on the reactor for a command that ends: run it, stop, give what came of it."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+T = TypeVar("T")
+
+
+def run_now(work: Coroutine[Any, Any, T]) -> T:
+    """The result of the coroutine; raises what it raised. Once in a process: a reactor does not start again."""
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    outcome: list[Any] = []
+
+    def end(result: Any) -> None:
+        outcome.append(result)
+        loop.stop()
+
+    loop.callWhenRunning(lambda: Deferred.fromCoroutine(work).addBoth(end))
+    loop.run()
+    if not outcome:
+        raise KeyboardInterrupt
+    if isinstance(outcome[0], Failure):
+        outcome[0].raiseException()
+    result: T = outcome[0]
+    return result
--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -165,8 +165,8 @@
 }
 
 
-def load_operator(path: str) -> Operator:
-    """Read the XML file; refuse what is unknown, out of bounds or declares entities."""
+def read_xml(path: str, root_name: str) -> Any:
+    """The root element of an operators' file; entities and document types are refused. Raises SettingsError."""
     # Only here: a node without an operators' file starts without the XML parser.
     from xml.etree.ElementTree import ParseError
 
@@ -181,8 +181,14 @@
         raise SettingsError(f"{path}: not well-formed XML: {error}") from error
     except DefusedXmlException as error:
         raise SettingsError(f"{path}: document type and entity declarations are refused: {error}") from error
-    if root.tag != "meadowcross":
-        raise SettingsError(f"{path}: element <{root.tag}>: expected <meadowcross>")
+    if root.tag != root_name:
+        raise SettingsError(f"{path}: element <{root.tag}>: expected <{root_name}>")
+    return root
+
+
+def load_operator(path: str) -> Operator:
+    """Read the XML file; refuse what is unknown, out of bounds or declares entities."""
+    root = read_xml(path, "meadowcross")
     values: dict[str, Any] = {}
     for element in root:
         name = element.tag.replace("-", "_")
--- a/meadowcross/estimates/cli.py
+++ b/meadowcross/estimates/cli.py
@@ -4,7 +4,6 @@
 
 import argparse
 import sys
-from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -135,6 +134,7 @@
 def _with_store(config: str, work: Any) -> int:
     """Do some work with the state service that a node's settings name, within the small share
     of its limits that a node has which does not lead."""
+    from meadowcross.common.once import run_now
     from meadowcross.common.settings import SettingsError, load_settings
     from meadowcross.store.client import Conflicted, Refused, Unavailable, Unknown
 
@@ -144,7 +144,7 @@
         _say(str(error))
         return 2
     try:
-        _run_now(_connected(settings, work))
+        run_now(_connected(settings, work))
     except (Unavailable, Unknown, Refused) as error:
         _say(f"the state service at {settings.outside.state} gives no answer: {error}")
         return 2
@@ -163,22 +163,3 @@
 
     clock: Any = reactor
     await work(StoreClient(clock, HttpClient(clock), Address(settings.outside.state), settings.facts.state))
-
-
-def _run_now(work: Coroutine[Any, Any, None]) -> None:
-    """Run the reactor until the work is done; raises what it raised."""
-    from twisted.internet import reactor
-    from twisted.internet.defer import Deferred
-    from twisted.python.failure import Failure
-
-    loop: Any = reactor
-    outcome: list[Any] = []
-
-    def end(result: Any) -> None:
-        outcome.append(result)
-        loop.stop()
-
-    loop.callWhenRunning(lambda: Deferred.fromCoroutine(work).addBoth(end))
-    loop.run()
-    if outcome and isinstance(outcome[0], Failure):
-        outcome[0].raiseException()
--- a/meadowcross/tickets/cli.py
+++ b/meadowcross/tickets/cli.py
@@ -1,4 +1,4 @@
-"""`meadowcross ticket`: check a ticket, or explain what it would become, without submitting it."""
+"""`meadowcross ticket` for submitters, `meadowcross tickets` for a site."""
 
 from __future__ import annotations
 
@@ -23,6 +23,120 @@
         command.set_defaults(act=act)
 
 
+    submit = commands.add_parser("submit", help="submit the ticket to a gateway")
+    submit.add_argument("file", metavar="FILE")
+    submit.add_argument("-p", "--parameter", metavar="NAME=VALUE", action="append", default=[], help="repeatable")
+    submit.add_argument("--key", metavar="TEXT", required=True, help="your own; repeated, it is the same ticket")
+    status = commands.add_parser("status", help="a ticket's state, step by step; without ID all open ones")
+    status.add_argument("id", metavar="ID", nargs="?")
+    cancel = commands.add_parser("cancel", help="cancel a ticket")
+    cancel.add_argument("id", metavar="ID")
+    for command, act in ((submit, _submit), (status, _status), (cancel, _cancel)):
+        command.add_argument("--gateway", metavar="HOST:PORT", required=True)
+        command.add_argument("--submitter", metavar="NAME", required=command is submit)
+        command.add_argument("--json", action="store_true", help="print the answer as it is")
+        command.set_defaults(act=act)
+
+
+def add_service(options: argparse.ArgumentParser) -> None:
+    commands = options.add_subparsers(metavar="ACTION", required=True)
+    serve = commands.add_parser("serve", help="run a gateway")
+    serve.add_argument("--config", metavar="FILE", required=True, help="the gateway's settings (XML)")
+    serve.add_argument("--check", action="store_true", help="read the files, report, and exit")
+    serve.set_defaults(act=_serve)
+
+
+def _serve(options: argparse.Namespace) -> int:
+    from meadowcross.common.settings import SettingsError
+    from meadowcross.tickets.gateway import load_gateway, serve
+    from meadowcross.tickets.site import load
+
+    try:
+        if options.check:
+            settings = load_gateway(options.config)
+            count = len(load(settings.site).submitters)
+            print(f"{options.config}: good, gateway {settings.name}, {count} submitters")
+            return 0
+        return serve(options.config)
+    except SettingsError as error:
+        return _say(str(error))
+
+
+def _submit(options: argparse.Namespace) -> int:
+    import msgspec
+
+    parameters = _parameters(options.parameter)
+    if isinstance(parameters, str):
+        return _say(parameters)
+    try:
+        with open(options.file, "rb") as file:
+            document = file.read(1024 * 1024).decode()
+    except OSError as error:
+        return _say(f"{options.file}: can't be read: {error.strerror}")
+    except UnicodeDecodeError as error:
+        return _say(f"{options.file}: document: not UTF-8 at byte {error.start}")
+    body = msgspec.json.encode({"key": options.key, "document": document, "parameters": parameters})
+    return _ask(options, "POST", f"/v1/submitters/{options.submitter}/tickets", body)
+
+
+def _status(options: argparse.Namespace) -> int:
+    if options.id is None and options.submitter is None:
+        return _say("say a ticket's ID, or whose with --submitter")
+    path = f"/v1/tickets/{options.id}" if options.id else f"/v1/submitters/{options.submitter}/tickets"
+    return _ask(options, "GET", path, None)
+
+
+def _cancel(options: argparse.Namespace) -> int:
+    return _ask(options, "POST", f"/v1/tickets/{options.id}/cancel", b"{}")
+
+
+def _ask(options: argparse.Namespace, method: str, path: str, body: bytes | None) -> int:
+    """One request to the gateway; what it refuses is told in one line."""
+    import msgspec
+
+    from meadowcross.common.http import HttpClient, NotSent, Unanswered
+    from meadowcross.common.once import run_now
+    from meadowcross.common.types import Address
+
+    async def work() -> tuple[int, bytes]:
+        from twisted.internet import reactor
+
+        reply = await HttpClient(reactor).call(method, Address(options.gateway), path, body, 10.0)
+        return reply.status, reply.body
+
+    try:
+        status, answer = run_now(work())
+    except (NotSent, Unanswered) as error:
+        return _say(f"the gateway gives no answer: {error}")
+    if status not in (200, 201):
+        told = msgspec.json.decode(answer, type=dict[str, str]) if answer.startswith(b"{") else {}
+        field = f"{told['field']}: " if "field" in told else ""
+        return _say(f"{field}{told.get('error', told.get('reason', ''))} ({status})")
+    if options.json:
+        print(answer.decode().strip())
+        return 0
+    said = msgspec.json.decode(answer)
+    for ticket in said.get("tickets", [said]):
+        print(f"{ticket['id']} {ticket['state']}: {ticket['name']}")
+        for step in ticket["steps"]:
+            why = f" ({step['why']})" if "why" in step else ""
+            print(f"  {step['name']}: {step['tasks']} tasks, {step['state']}{why} {step.get('job', '')}".rstrip())
+    return 0
+
+
+def _parameters(given: list[str]) -> dict[str, str] | str:
+    """The parameters, or what is wrong with one."""
+    parameters: dict[str, str] = {}
+    for one in given:
+        name, equals, value = one.partition("=")
+        if not equals or not name:
+            return f"-p {one[:60]}: expected NAME=VALUE"
+        if name in parameters:
+            return f"-p {name[:60]}: given twice"
+        parameters[name] = value
+    return parameters
+
+
 def _check(options: argparse.Namespace) -> int:
     return _planned(options, explain=False)
 
@@ -45,14 +159,9 @@
     from meadowcross.tickets.reading import TicketError
     from meadowcross.tickets.site import Site, Submitter, load
 
-    parameters: dict[str, str] = {}
-    for given in options.parameter:
-        name, equals, value = given.partition("=")
-        if not equals or not name:
-            return _say(f"-p {given[:60]}: expected NAME=VALUE")
-        if name in parameters:
-            return _say(f"-p {name[:60]}: given twice")
-        parameters[name] = value
+    parameters = _parameters(options.parameter)
+    if isinstance(parameters, str):
+        return _say(parameters)
     try:
         if options.site is not None:
             site = load(options.site)
--- /dev/null
+++ b/meadowcross/tickets/gateway.py
@@ -0,0 +1,123 @@
+"""One gateway, wired: its settings (XML), its parts, its start and stop."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+import uuid
+from random import Random
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct
+
+from meadowcross.common.http import HttpClient, Router
+from meadowcross.common.settings import SettingsError, StateFacts, read_xml
+from meadowcross.common.types import Address
+from meadowcross.store.client import StoreClient
+from meadowcross.tickets.controllers import Controllers
+from meadowcross.tickets.driver import Driver
+from meadowcross.tickets.intake import Intake
+from meadowcross.tickets.members import Members, begin
+from meadowcross.tickets.site import Site, load
+
+_HostPort = Annotated[str, Meta(pattern=r"^[^:\s]+:\d{1,5}$")]
+_Positive = Annotated[float, Meta(gt=0)]
+
+
+class GatewaySettings(Struct, frozen=True):
+    """A gateway's own file. What it may ask of the state service is set apart from the controllers' share."""
+
+    name: Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,60}$")]
+    listen: _HostPort
+    state: _HostPort
+    controllers: Annotated[list[_HostPort], Meta(min_length=1)]
+    site: Annotated[str, Meta(min_length=1)]
+    store_requests_per_s: _Positive = 20.0
+    store_writes_per_s: _Positive = 20.0
+    value_kb: _Positive = 16.0
+    txn_ops: Annotated[int, Meta(ge=4)] = 24
+    hold_s: Annotated[float, Meta(ge=1, le=60)] = 5.0
+    tickets_per_s: _Positive = 2.0
+    """Of one submitter; of all four times as many."""
+
+
+def load_gateway(path: str) -> GatewaySettings:
+    """Raises SettingsError: the file, the element, what was expected."""
+    root = read_xml(path, "gateway")
+    known = {field.encode_name for field in msgspec.structs.fields(GatewaySettings)}
+    values: dict[str, Any] = {}
+    for one in root:
+        name = one.tag.replace("-", "_")
+        if name not in known or len(one) or one.attrib:
+            raise SettingsError(f"{path}: element <{one.tag}>: unknown, or not a plain value")
+        if name in values:
+            raise SettingsError(f"{path}: element <{one.tag}>: given twice")
+        text = (one.text or "").strip()
+        values[name] = text.split() if name == "controllers" else text
+    try:
+        made = msgspec.convert(values, GatewaySettings, strict=False)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    host = made.listen.rpartition(":")[0]
+    try:
+        local = ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        local = host == "localhost"
+    if not local:
+        # Submitters are not told apart by keys yet.
+        raise SettingsError(f"{path}: element <listen>: {made.listen}: expected a loopback address")
+    return msgspec.structs.replace(made, site=os.path.join(os.path.dirname(os.path.abspath(path)), made.site))
+
+
+class Gateway:
+    def __init__(self, reactor: Any, http: HttpClient, settings: GatewaySettings, site: Site, chance: Random) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        facts = StateFacts(
+            settings.store_requests_per_s, settings.store_writes_per_s, settings.value_kb, settings.txn_ops
+        )
+        self.store = StoreClient(reactor, http, Address(settings.state), facts)
+        # All of what the file grants: it is no share of the controllers' limits.
+        self.store.set_share(1.0)
+        self.controllers = Controllers(reactor, http, [Address(one) for one in settings.controllers])
+        self.driver = Driver(reactor, self.store, self.controllers, chance, lambda: self.members)
+        self.members = Members(
+            reactor, self.store, settings.name, uuid.uuid4().hex, settings.hold_s, self.driver.claimed, self.driver.lost
+        )
+        self.intake = Intake(reactor, self.store, site, settings.tickets_per_s)
+        self.router = Router()
+        self.intake.routes(self.router)
+
+    def start(self) -> None:
+        begin(self.members)
+        self.driver.start()
+
+    async def stop(self) -> None:
+        self.driver.stop()
+        await self.members.stop()
+
+    def listen(self) -> None:
+        from meadowcross.common.http import api_factory
+
+        host, _, port = self._settings.listen.rpartition(":")
+        self._reactor.listenTCP(int(port), api_factory(self.router, self._reactor), interface=host, backlog=128)
+
+
+def serve(path: str) -> int:
+    """Run a gateway until it is told to end. Raises SettingsError."""
+    settings = load_gateway(path)
+    site = load(settings.site)
+    from twisted.internet import reactor
+    from twisted.internet.defer import Deferred
+
+    from meadowcross.common import logging as node_logging
+
+    node_logging.set_up(settings.name)
+    loop: Any = reactor
+    gateway = Gateway(loop, HttpClient(loop), settings, site, Random())
+    gateway.listen()
+    gateway.start()
+    loop.addSystemEventTrigger("before", "shutdown", lambda: Deferred.fromCoroutine(gateway.stop()))
+    loop.run()
+    return 0
--- a/meadowcross/tickets/site.py
+++ b/meadowcross/tickets/site.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from meadowcross.common.settings import SettingsError
+from meadowcross.common.settings import SettingsError, read_xml
 from meadowcross.jobs.messages import Priority
 
 _Text = Annotated[str, Meta(min_length=1, max_length=200)]
@@ -50,21 +50,7 @@
 def load(path: str) -> Site:
     """Read `<tickets>` with one `<submitter>` each; `types` and `zones` are lists of words. Raises
     SettingsError: the file, the element, and what was expected."""
-    from xml.etree.ElementTree import ParseError
-
-    from defusedxml import DefusedXmlException
-    from defusedxml.ElementTree import parse
-
-    try:
-        root = parse(path, forbid_dtd=True).getroot()
-    except OSError as error:
-        raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
-    except ParseError as error:
-        raise SettingsError(f"{path}: not well-formed XML: {error}") from error
-    except DefusedXmlException as error:
-        raise SettingsError(f"{path}: document type and entity declarations are refused: {error}") from error
-    if root.tag != "tickets":
-        raise SettingsError(f"{path}: element <{root.tag}>: expected <tickets>")
+    root = read_xml(path, "tickets")
     known = {field.encode_name for field in msgspec.structs.fields(Submitter)}
     submitters: list[Submitter] = []
     for number, element in enumerate(root, 1):
