Keys: an authority of a site's own, TLS with renewal, signed requests; lighter node starts

Change: meadowcross keys init|issue|list|revoke (cryptography); gateways serve TLS with client certificates or HMAC-signed requests, a submitter only for himself; files are read anew when they change, keys must be their owner's alone. The parts of learning are loaded by who leads, or after half a minute; their records are read three seconds after a takeover.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -57,6 +57,9 @@
     return 0
 
 
+PREPARE_S = 30.0
+
+
 class Node:
     """One controller: all slices, wired together."""
 
@@ -78,6 +81,7 @@
 
         self._reactor = reactor
         self._settings = settings
+        self._operator = operator
         node = NodeName(settings.host_name)
         facts = settings.facts
         http = HttpClient(reactor)
@@ -166,6 +170,11 @@
         api.routes(self.router)
         WorkerApi(take_report, leader_name, visitors).routes(self.router)
 
+    def _prepare(self) -> None:
+        """What only a leader needs, loaded while there is nothing to hurry for."""
+        import meadowcross.estimates.keeper
+        import meadowcross.leadership.outlook  # noqa: F401
+
     def start(self) -> None:
         from twisted.internet.defer import Deferred
 
@@ -174,5 +183,7 @@
         host, _, port = self._settings.api_addr.rpartition(":")
         self._reactor.listenTCP(int(port), api_factory(self.router, self._reactor), interface=host, backlog=512)
         self.link.start(self._reactor, self._settings.peer_bind)
+        if self._operator.learned_estimates >= 1:
+            self._reactor.callLater(PREPARE_S, self._prepare)
         Deferred.fromCoroutine(self.catalog.run())
         Deferred.fromCoroutine(self.election.run())
--- a/meadowcross/cli.py
+++ b/meadowcross/cli.py
@@ -33,6 +33,7 @@
 
     estimates.add(commands.add_parser("estimates", help="learned run times: replay, show, reset"))
     tickets.add(commands.add_parser("ticket", help="render-farm job tickets: check, explain, submit, status, cancel"))
+    tickets.add_keys(commands.add_parser("keys", help="a site's own authority: init, issue, list, revoke"))
     tickets.add_service(commands.add_parser("tickets", help="the ticket gateway: serve"))
     return options
 
--- a/meadowcross/common/http.py
+++ b/meadowcross/common/http.py
@@ -5,7 +5,7 @@
 import re
 from collections.abc import Awaitable, Callable
 from io import BytesIO
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from twisted.internet import error as net_error
 from twisted.internet.defer import CancelledError, Deferred
@@ -171,6 +171,7 @@
     """One request: looked up in the router, answered by its handler."""
 
     router: Router
+    guard: Guard | None = None
     too_large = False
     dropped = 0
 
@@ -218,7 +219,8 @@
         assert self.content is not None
         body = self.content.read()
         try:
-            result = handler(body, *groups)
+            refused = self.guard(self, path, body) if self.guard is not None else None
+            result = refused or handler(body, *groups)
         except Exception:
             log.exception("handler of %s failed", path)
             result = reason(500, "internal error", 1)
@@ -247,11 +249,19 @@
         self.write(answer.body)
 
 
-def api_factory(router: Router, reactor: Any) -> http.HTTPFactory:
+class Guard(Protocol):
+    """Decides whether a request may be handled; its answer, if it may not."""
+
+    def __call__(self, request: ApiRequest, path: str, body: bytes) -> Answer | None: ...
+
+
+def api_factory(router: Router, reactor: Any, guard: Guard | None = None) -> http.HTTPFactory:
     class RoutedRequest(ApiRequest):
         pass
 
     RoutedRequest.router = router
+    # Not a method of the request: what it is called on is passed to it.
+    RoutedRequest.guard = staticmethod(guard) if guard is not None else None
 
     class Channel(http.HTTPChannel):
         requestFactory = RoutedRequest  # type: ignore[assignment]
--- a/meadowcross/estimates/curve.py
+++ b/meadowcross/estimates/curve.py
@@ -10,11 +10,13 @@
 from bisect import bisect_right
 from functools import lru_cache
 from math import exp, log
-from statistics import NormalDist
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from meadowcross.common.types import Seconds
 
+if TYPE_CHECKING:
+    from statistics import NormalDist
+
 GRID = (0.025, 0.1, 0.25, 0.5, 0.75, 0.9, 0.975)
 MIDDLE = 3
 PAIRS = ((2, 4), (1, 5), (0, 6))
@@ -24,16 +26,23 @@
 LINDY = 0.1
 """What ran longer than nearly all others goes on for at least this share of its age."""
 
-_NORMAL = NormalDist()
-SCORES = tuple(_NORMAL.inv_cdf(q) for q in GRID)
+SCORES = (-1.959963985, -1.281551566, -0.67448975, 0.0, 0.67448975, 1.281551566, 1.959963985)
+"""The normal scores of the grid, written out: `statistics` is loaded by who predicts, not by a node's start."""
 
 Logs = tuple[float, ...]
 """Natural logarithms at the grid's shares, ascending."""
 
 
+@lru_cache(maxsize=1)
+def _normal() -> NormalDist:
+    from statistics import NormalDist
+
+    return NormalDist()
+
+
 @lru_cache(maxsize=256)
 def score_of(q: float) -> float:
-    return _NORMAL.inv_cdf(min(0.999, max(0.001, q)))
+    return _normal().inv_cdf(min(0.999, max(0.001, q)))
 
 
 def spread(middle: float, sigma: float) -> Logs:
@@ -94,7 +103,7 @@
         if y1 - y0 < 1e-9:
             return min(0.999, max(0.001, GRID[right] if value >= y1 else GRID[right - 1]))
         score = SCORES[right - 1] + (SCORES[right] - SCORES[right - 1]) * (value - y0) / (y1 - y0)
-        return min(0.999, max(0.001, _NORMAL.cdf(score)))
+        return min(0.999, max(0.001, _normal().cdf(score)))
 
     def left(self, ran: Seconds, q: float) -> Seconds:
         """What is left of a run that has lasted `ran`: the share `q` of such runs takes less.
--- a/meadowcross/estimates/keeper.py
+++ b/meadowcross/estimates/keeper.py
@@ -68,6 +68,8 @@
 
     def start(self) -> None:
         """Begin to load; placing goes on meanwhile."""
+        if self._stopped:
+            return
         for work in (self._load(), self._committer.run()):
             Deferred.fromCoroutine(work).addErrback(self._failed)
 
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -27,9 +27,6 @@
     Token,
     WallTime,
 )
-from meadowcross.estimates.finish import Ends
-from meadowcross.estimates.keeper import EstimateKeeper
-from meadowcross.estimates.learned import Learned
 from meadowcross.estimates.runs import MeanRuns, Runs
 from meadowcross.estimates.samples import Samples, Where
 from meadowcross.fleet import messages as fm
@@ -40,7 +37,6 @@
 from meadowcross.jobs.keeper import Keeper
 from meadowcross.leadership.election import Election
 from meadowcross.leadership.messages import LEADER_KEY
-from meadowcross.leadership.outlook import Outlooks
 from meadowcross.leadership.view import View
 from meadowcross.placement.engine import Choice, place
 from meadowcross.placement.moves import moves
@@ -55,6 +51,12 @@
 from meadowcross.workers.health import Health
 from meadowcross.workers.roster import Change, HigherToken, Machine, Outcome, Roster
 
+if TYPE_CHECKING:
+    from meadowcross.estimates.finish import Ends
+    from meadowcross.estimates.keeper import EstimateKeeper
+    from meadowcross.estimates.learned import Learned
+    from meadowcross.leadership.outlook import Outlooks
+
 log = logger("leadership")
 
 WAKE_S: Seconds = 2.0
@@ -65,6 +67,7 @@
 TICK_S: Seconds = 0.5
 WATCH_S: Seconds = 20.0
 WATCH_RUNS_S: Seconds = 4.0
+ESTIMATES_AFTER_S: Seconds = 3.0
 CANCEL_SHARE = 0.5
 BAD_MACHINE = "it failed what fares well elsewhere"
 
@@ -107,6 +110,8 @@
         self.fleet = FleetManager(reactor, settings, operator, cloud, types, self)
         self._outlooks: Outlooks | None = None
         if self._learned is not None:
+            from meadowcross.leadership.outlook import Outlooks
+
             self._outlooks = Outlooks(
                 reactor, self.book, self.roster, self.view, types, self.fleet, self._learned
             )
@@ -127,6 +132,10 @@
         self.estimates: EstimateKeeper | None = None
         self.runs: Runs = MeanRuns()
         if operator.learned_estimates >= 1:
+            # Only by who leads: a node that was killed is back sooner without them.
+            from meadowcross.estimates.keeper import EstimateKeeper
+            from meadowcross.estimates.learned import Learned
+
             self._learned = Learned(self._clock)
             self.estimates = EstimateKeeper(
                 self._clock, self._store, self._leader_condition, self._learned, self._reread
@@ -200,7 +209,8 @@
         self.fleet.start()
         self._tick.start(TICK_S)
         if self.estimates is not None:
-            self.estimates.start()
+            # The first seconds belong to the workers, the first placements and the users.
+            self._clock.callLater(ESTIMATES_AFTER_S, self.estimates.start)
         await self._watch(revision)
 
     async def _load(self) -> Mark:
--- a/meadowcross/tickets/cli.py
+++ b/meadowcross/tickets/cli.py
@@ -4,6 +4,7 @@
 
 import argparse
 import sys
+from collections.abc import Callable
 
 PERMISSIVE = "anyone"
 
@@ -33,7 +34,10 @@
     cancel.add_argument("id", metavar="ID")
     for command, act in ((submit, _submit), (status, _status), (cancel, _cancel)):
         command.add_argument("--gateway", metavar="HOST:PORT", required=True)
-        command.add_argument("--submitter", metavar="NAME", required=command is submit)
+        command.add_argument("--submitter", metavar="NAME", required=True, help="yourself, as the site names you")
+        command.add_argument("--secret", metavar="FILE", help="sign the request with the secret in this file")
+        command.add_argument("--authority", metavar="FILE", help="TLS: the certificate that the gateway's is signed by")
+        command.add_argument("--certificate", metavar="FILE", help="TLS: your own certificate; its key is FILE.key")
         command.add_argument("--json", action="store_true", help="print the answer as it is")
         command.set_defaults(act=act)
 
@@ -46,9 +50,76 @@
     serve.set_defaults(act=_serve)
 
 
+def add_keys(options: argparse.ArgumentParser) -> None:
+    commands = options.add_subparsers(metavar="ACTION", required=True)
+    init = commands.add_parser("init", help="make a site's own small authority")
+    init.add_argument("--site", metavar="NAME", default="site")
+    issue = commands.add_parser("issue", help="a key and a certificate for a gateway or a submitter")
+    issue.add_argument("name", metavar="NAME")
+    issue.add_argument("--host", metavar="HOST", action="append", help="of a gateway: where it is reached; repeatable")
+    for command, days in ((init, 3650), (issue, 365)):
+        command.add_argument("--days", metavar="N", type=int, default=days, help=f"valid for (default: {days})")
+    revoke = commands.add_parser("revoke", help="make gateways refuse a certificate")
+    revoke.add_argument("name", metavar="NAME")
+    listed = commands.add_parser("list", help="what was issued")
+    listed.add_argument("--json", action="store_true")
+    for command, act in ((init, _keys_init), (issue, _keys_issue), (revoke, _keys_revoke), (listed, _keys_list)):
+        command.add_argument("--directory", metavar="DIR", required=True, help="the authority's")
+        command.set_defaults(act=_with_keys(act))
+
+
+def _with_keys(act: Callable[[argparse.Namespace], None]) -> Callable[[argparse.Namespace], int]:
+    def run(options: argparse.Namespace) -> int:
+        from meadowcross.tickets.keys import KeyTrouble
+
+        try:
+            act(options)
+        except KeyTrouble as error:
+            print(f"meadowcross keys: {error}", file=sys.stderr)
+            return 2
+        return 0
+
+    return run
+
+
+def _keys_init(options: argparse.Namespace) -> None:
+    from meadowcross.tickets.keys import Authority
+
+    Authority.init(options.directory, options.site, options.days)
+    print(f"{options.directory}: an authority; keep its key where only you can read it")
+
+
+def _keys_issue(options: argparse.Namespace) -> None:
+    from meadowcross.tickets.keys import SERVER, SUBMITTER, Authority
+
+    kind = SERVER if options.host else SUBMITTER
+    path = Authority(options.directory).issue(options.name, kind, options.days, options.host or ())
+    print(f"{path}.pem and {path}.key: a {kind}'s, for {options.days} days")
+
+
+def _keys_revoke(options: argparse.Namespace) -> None:
+    from meadowcross.tickets.keys import Authority
+
+    print(f"revoked {Authority(options.directory).revoke(options.name)}")
+
+
+def _keys_list(options: argparse.Namespace) -> None:
+    import msgspec
+
+    from meadowcross.tickets.keys import Authority
+
+    issued = Authority(options.directory).issued()
+    if options.json:
+        print(msgspec.json.format(msgspec.json.encode(issued)).decode())
+        return
+    for one in issued:
+        print(f"{one.name:32} {one.kind:10} until {one.until}  {one.serial}{'  revoked' if one.revoked else ''}")
+
+
 def _serve(options: argparse.Namespace) -> int:
     from meadowcross.common.settings import SettingsError
     from meadowcross.tickets.gateway import load_gateway, serve
+    from meadowcross.tickets.keys import KeyTrouble
     from meadowcross.tickets.site import load
 
     try:
@@ -58,7 +129,7 @@
             print(f"{options.config}: good, gateway {settings.name}, {count} submitters")
             return 0
         return serve(options.config)
-    except SettingsError as error:
+    except (SettingsError, KeyTrouble) as error:
         return _say(str(error))
 
 
@@ -80,34 +151,26 @@
 
 
 def _status(options: argparse.Namespace) -> int:
-    if options.id is None and options.submitter is None:
-        return _say("say a ticket's ID, or whose with --submitter")
-    path = f"/v1/tickets/{options.id}" if options.id else f"/v1/submitters/{options.submitter}/tickets"
-    return _ask(options, "GET", path, None)
+    path = f"/v1/submitters/{options.submitter}/tickets"
+    return _ask(options, "GET", f"{path}/{options.id}" if options.id else path, None)
 
 
 def _cancel(options: argparse.Namespace) -> int:
-    return _ask(options, "POST", f"/v1/tickets/{options.id}/cancel", b"{}")
+    return _ask(options, "POST", f"/v1/submitters/{options.submitter}/tickets/{options.id}/cancel", b"{}")
 
 
 def _ask(options: argparse.Namespace, method: str, path: str, body: bytes | None) -> int:
     """One request to the gateway; what it refuses is told in one line."""
     import msgspec
 
-    from meadowcross.common.http import HttpClient, NotSent, Unanswered
     from meadowcross.common.once import run_now
-    from meadowcross.common.types import Address
-
-    async def work() -> tuple[int, bytes]:
-        from twisted.internet import reactor
-
-        reply = await HttpClient(reactor).call(method, Address(options.gateway), path, body, 10.0)
-        return reply.status, reply.body
+    from meadowcross.tickets.asking import NoAnswer, ask
+    from meadowcross.tickets.keys import KeyTrouble
 
     try:
-        status, answer = run_now(work())
-    except (NotSent, Unanswered) as error:
-        return _say(f"the gateway gives no answer: {error}")
+        status, answer = run_now(ask(options, method, path, body))
+    except (NoAnswer, KeyTrouble) as error:
+        return _say(str(error))
     if status not in (200, 201):
         told = msgspec.json.decode(answer, type=dict[str, str]) if answer.startswith(b"{") else {}
         field = f"{told['field']}: " if "field" in told else ""
--- a/meadowcross/tickets/gateway.py
+++ b/meadowcross/tickets/gateway.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import os
+import time
 import uuid
 from random import Random
 from typing import Annotated, Any
@@ -40,6 +41,17 @@
     hold_s: Annotated[float, Meta(ge=1, le=60)] = 5.0
     tickets_per_s: _Positive = 2.0
     """Of one submitter; of all four times as many."""
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_authority: str = ""
+    tls_revoked: str = ""
+    """All four or none; renewed files are read without a restart."""
+    secrets: str = ""
+    """A directory with a file for each submitter who signs."""
+
+    @property
+    def tls(self) -> tuple[str, str, str, str]:
+        return self.tls_certificate, self.tls_key, self.tls_authority, self.tls_revoked
 
 
 def load_gateway(path: str) -> GatewaySettings:
@@ -64,10 +76,15 @@
         local = ipaddress.ip_address(host).is_loopback
     except ValueError:
         local = host == "localhost"
-    if not local:
-        # Submitters are not told apart by keys yet.
-        raise SettingsError(f"{path}: element <listen>: {made.listen}: expected a loopback address")
-    return msgspec.structs.replace(made, site=os.path.join(os.path.dirname(os.path.abspath(path)), made.site))
+    if any(made.tls) and not all(made.tls):
+        raise SettingsError(f"{path}: <tls-certificate>, <tls-key>, <tls-authority> and <tls-revoked> go together")
+    if not local and not all(made.tls):
+        raise SettingsError(f"{path}: element <listen>: {made.listen}: expected a loopback address, or TLS")
+    folder = os.path.dirname(os.path.abspath(path))
+    files = ("site", "tls_certificate", "tls_key", "tls_authority", "tls_revoked", "secrets")
+    return msgspec.structs.replace(
+        made, **{name: os.path.join(folder, getattr(made, name)) for name in files if getattr(made, name)}
+    )
 
 
 class Gateway:
@@ -97,15 +114,29 @@
         self.driver.stop()
         await self.members.stop()
 
-    def listen(self) -> None:
+    def listen(self) -> Any:
+        """Serve; with TLS or secrets only to those who show who they are. Raises KeyTrouble."""
         from meadowcross.common.http import api_factory
 
         host, _, port = self._settings.listen.rpartition(":")
-        self._reactor.listenTCP(int(port), api_factory(self.router, self._reactor), interface=host, backlog=128)
+        if not any(self._settings.tls) and not self._settings.secrets:
+            factory = api_factory(self.router, self._reactor)
+            return self._reactor.listenTCP(int(port), factory, interface=host, backlog=128)
+        # Only here: without keys nothing of them is loaded.
+        from meadowcross.tickets.guard import Guard, Tls
+        from meadowcross.tickets.signing import Signatures
+
+        tls = Tls(*self._settings.tls) if any(self._settings.tls) else None
+        secrets = self._settings.secrets
+        guard = Guard(tls, Signatures(secrets, time.time) if secrets else None)
+        factory = api_factory(self.router, self._reactor, guard)
+        if tls is None:
+            return self._reactor.listenTCP(int(port), factory, interface=host, backlog=128)
+        return self._reactor.listenSSL(int(port), factory, tls, interface=host, backlog=128)
 
 
 def serve(path: str) -> int:
-    """Run a gateway until it is told to end. Raises SettingsError."""
+    """Run a gateway until it is told to end. Raises SettingsError, KeyTrouble."""
     settings = load_gateway(path)
     site = load(settings.site)
     from twisted.internet import reactor
--- a/meadowcross/tickets/intake.py
+++ b/meadowcross/tickets/intake.py
@@ -62,6 +62,13 @@
     return Answer(status, msgspec.json.encode(value) + b"\n")
 
 
+def _told(record: r.TicketRecord | None, ticket: r.TicketId, name: str) -> Answer:
+    """A ticket's state, for its own submitter only."""
+    if record is None or record.submitter != name:
+        return reason(404, "no such ticket")
+    return _json(200, r.plain(record, ticket))
+
+
 class Intake:
     def __init__(self, clock: Clock, store: StoreClient, site: Site, tickets_per_s: float) -> None:
         self._clock = clock
@@ -80,14 +87,14 @@
         router.add("POST", r"/v1/submitters/([^/]+)/tickets", self._guarded(self.submit))
         router.add("POST", r"/v1/submitters/([^/]+)/check", self._guarded(self.check))
         router.add("GET", r"/v1/submitters/([^/]+)/tickets", self._guarded(self.list))
-        router.add("GET", r"/v1/tickets/([^/]+)", self._guarded(self.state))
-        router.add("POST", r"/v1/tickets/([^/]+)/cancel", self._guarded(self.cancel))
+        router.add("GET", r"/v1/submitters/([^/]+)/tickets/([^/]+)", self._guarded(self.state))
+        router.add("POST", r"/v1/submitters/([^/]+)/tickets/([^/]+)/cancel", self._guarded(self.cancel))
         router.add("GET", r"/ready", lambda body: Answer(200, b'{"ready":true}\n'))
 
-    def _guarded(self, operation: Callable[[bytes, str], Awaitable[Answer]]) -> Callable[..., Awaitable[Answer]]:
-        async def run(body: bytes, what: str) -> Answer:
+    def _guarded(self, operation: Callable[..., Awaitable[Answer]]) -> Callable[..., Awaitable[Answer]]:
+        async def run(body: bytes, *what: str) -> Answer:
             try:
-                return await operation(body, what)
+                return await operation(body, *what)
             except (Unavailable, Unknown, Refused) as error:
                 log.debug("request refused: %s", error)
                 return reason(503, "the state service gives no answer", RETRY_AFTER_S)
@@ -219,7 +226,7 @@
                 return record
         return None
 
-    async def state(self, body: bytes, text: str) -> Answer:
+    async def state(self, body: bytes, name: str, text: str) -> Answer:
         if not r.is_ticket_id(text):
             return reason(404, "no such ticket")
         ticket = r.TicketId(text)
@@ -235,7 +242,7 @@
                 if not self._questions.try_take():
                     return reason(503, "too many questions", RETRY_AFTER_S)
                 record = await self._shared(ticket)
-        return reason(404, "no such ticket") if record is None else _json(200, r.plain(record, ticket))
+        return _told(record, ticket, name)
 
     async def _shared(self, ticket: r.TicketId) -> r.TicketRecord | None:
         waiting = self._reading[ticket] = []
@@ -266,7 +273,7 @@
         own = [r.plain(record, ticket) for ticket, record in self._listed[1] if record.submitter == name]
         return _json(200, {"tickets": own[:MAX_LISTED], "more": len(own) > MAX_LISTED})
 
-    async def cancel(self, body: bytes, text: str) -> Answer:
+    async def cancel(self, body: bytes, name: str, text: str) -> Answer:
         """Stored; whoever drives the ticket then withdraws its jobs. Safe to repeat."""
         if not r.is_ticket_id(text):
             return reason(404, "no such ticket")
@@ -277,10 +284,10 @@
                 record = await self._find(ticket)
                 if record is not None and record.state is r.TicketState.OPEN:
                     continue
-                return reason(404, "no such ticket") if record is None else _json(200, r.plain(record, ticket))
+                return _told(record, ticket, name)
             record = r.decode_ticket(item.value)
-            if record.cancelled is not None:
-                return _json(200, r.plain(record, ticket))
+            if record.submitter != name or record.cancelled is not None:
+                return _told(record, ticket, name)
             record = replace(record, cancelled=WallTime(self._clock.seconds()))
             try:
                 await self._store.transact(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -128,7 +128,7 @@
         return self.ask(name, "POST", "/v1/submitters/agency/tickets", {"key": key, "document": document})[:2]
 
     def states(self, ticket: str, name: str = "g0") -> tuple[str, list[str]]:
-        _, said, _ = self.ask(name, "GET", f"/v1/tickets/{ticket}")
+        _, said, _ = self.ask(name, "GET", f"/v1/submitters/agency/tickets/{ticket}")
         return said["state"], [step["state"] for step in said["steps"]]
 
     def finish_all(self, ticket: str, name: str = "g0", limit: float = 300.0) -> tuple[str, list[str]]:
@@ -251,14 +251,14 @@
     ticket = farm.submit()[1]["id"]
     if when != "before the first step":
         farm.pass_time(2.0)
-    assert farm.ask("g1", "POST", f"/v1/tickets/{ticket}/cancel", {})[0] == 200
+    assert farm.ask("g1", "POST", f"/v1/submitters/agency/tickets/{ticket}/cancel", {})[0] == 200
     assert farm.states(ticket)[0] == "cancelled", "told at once, whoever drives it"
     farm.pass_time(30.0)
     farm.net.deliver_late()
     farm.pass_time(20.0)
     assert farm.states(ticket) == ("cancelled", ["cancelled"] * 3)
     assert all(job["standing"] == "cancelled" for job in farm.nodes.jobs.values())
-    assert farm.ask("g0", "POST", f"/v1/tickets/{ticket}/cancel", {})[1]["state"] == "cancelled"
+    assert farm.ask("g0", "POST", f"/v1/submitters/agency/tickets/{ticket}/cancel", {})[1]["state"] == "cancelled"
 
 
 def test_an_id_that_somebody_else_used_is_noticed_and_replaced():
@@ -337,7 +337,7 @@
     farm = Farm()
     ticket = farm.submit(ONE)[1]["id"]
     farm.pass_time(5.0)
-    handler, groups = farm.gateways["g0"].router.find("GET", f"/v1/tickets/{ticket}")
+    handler, groups = farm.gateways["g0"].router.find("GET", f"/v1/submitters/agency/tickets/{ticket}")
     before, answers = len(farm.net.calls), []
     for _ in range(500):
         Deferred.fromCoroutine(handler(b"", *groups)).addCallback(answers.append)
@@ -345,7 +345,7 @@
     asked = [c for c in farm.net.calls[before:] if c[1].endswith(ticket)]
     assert len(answers) == 500 and {a.status for a in answers} == {200} and len(asked) == 1
     for number in range(500):
-        handler, groups = farm.gateways["g0"].router.find("GET", f"/v1/tickets/tk-{number:024x}")
+        handler, groups = farm.gateways["g0"].router.find("GET", f"/v1/submitters/agency/tickets/tk-{number:024x}")
         Deferred.fromCoroutine(handler(b"", *groups)).addCallback(answers.append)
     farm.pass_time(0.2)
     assert sum(a.status == 503 and a.retry_after == 1 for a in answers) >= 470
@@ -380,9 +380,9 @@
     ("POST", "/v1/submitters/agency/tickets", {"key": "k", "document": HEAD + "steps: []\n"}, 422),
     ("POST", "/v1/submitters/agency/check", {"key": "k", "document": ONE}, 200),
     ("POST", "/v1/submitters/agency/check", {"key": "k", "document": "a: *b"}, 422),
-    ("GET", "/v1/tickets/tk-000000000000000000000000", None, 404),
-    ("GET", "/v1/tickets/a b", None, 404),
-    ("POST", "/v1/tickets/tk-000000000000000000000000/cancel", {}, 404),
+    ("GET", "/v1/submitters/agency/tickets/tk-000000000000000000000000", None, 404),
+    ("GET", "/v1/submitters/agency/tickets/a b", None, 404),
+    ("POST", "/v1/submitters/agency/tickets/tk-000000000000000000000000/cancel", {}, 404),
     ("GET", "/v1/submitters/agency/tickets", None, 200),
     ("GET", "/v1/submitters/nobody/tickets", None, 403),
 ]
@@ -474,6 +474,7 @@
     ("<name>gateway-1</name>", "", "name"),
     ("<name>gateway-1</name>", "<name>a b</name>", "name"),
     ("127.0.0.1:8200", "0.0.0.0:8200", "loopback"),
+    ("<site>", "<tls-key>x</tls-key><site>", "together"),
     ("<tickets-per-s>2", "<tickets-per-s>-2", "tickets_per_s"),
     ("<site>", "<sight>x</sight><site>", "sight"),
 ]
