--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -140,7 +140,7 @@
     silent_s: float = 8.0
     drain_after_s: float = 10.0
     spare_percent: float = 15.0
-    learned_estimates: float = 2.0
+    learned_estimates: float = 0.0
 
 
 BOUNDS = {
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -532,8 +532,8 @@
             self._leave_taken()
             if self.now - self._watched_at >= WATCH_RUNS_S:
                 self._watched_at = self.now
-                self._samples.watch(self.book, self.now)
                 if self._outlooks is not None:
+                    self._samples.watch(self.book, self.now)
                     self._outlooks.look()
             if self.now - self._moved_at >= self._operator.move_period_s:
                 self._moved_at = self.now
--- a/measure/learning.py
+++ b/measure/learning.py
@@ -36,12 +36,11 @@
     """Machines full of arrays whose tasks end after 5 to 40 s, jobs coming, users asking."""
     from meadowcross.common.settings import Operator
     from meadowcross.estimates import messages as em
-    from tests import conftest
     from tests.conftest import World, job
 
-    conftest.Operator = lambda: Operator(learned_estimates=float(setting))
     chance = Random(1)
     world = World()
+    world.operator = Operator(learned_estimates=float(setting))
     world.cloud.at_once = 50
     facts = structs.replace(
         world.settings.facts, state=structs.replace(world.settings.facts.state, rps=1e5, write_rps=1e5)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -69,6 +69,7 @@
         self.settings = msgspec.convert(SETTINGS, Settings)
         self.store = StoreClient(self.clock, self.net, Address("state:1"), self.settings.facts.state)
         self.types = decode_types(encode({"builds": TYPES})).types
+        self.operator = Operator(learned_estimates=2.0)
         self.term: Term | None = None
         self.terms: list[Term] = []
         self.reporting = True
@@ -85,7 +86,7 @@
     def begin(self, token: int) -> Term:
         cloud = Cloud(self.clock, self.net, Address("cloud:1"), self.settings.facts.cloud)
         self.term = Term(
-            self.clock, self.settings, Operator(), self.store, self.net, cloud, lambda: self.types, token,
+            self.clock, self.settings, self.operator, self.store, self.net, cloud, lambda: self.types, token,
             self.election, lambda: self.peers_hear,
         )  # fmt: skip
         self.term.start()
--- a/tests/test_estimates_state.py
+++ b/tests/test_estimates_state.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from meadowcross.common.settings import Operator
 from meadowcross.common.types import NodeName, Token
 from meadowcross.estimates import messages as m
 from meadowcross.jobs import messages as jm
@@ -284,6 +285,21 @@
     assert entries & {"f/waiting/normal", "f/placed/normal"}, "the times that were told are not judged"
 
 
+@pytest.mark.parametrize("setting", [0.0, 1.0])
+def test_switched_off_nothing_is_learned_and_only_told_nothing_decides(world, setting):
+    world.operator = Operator(learned_estimates=setting)
+    term = world.lead()
+    run_jobs(world, 3)
+    world.pass_time(40.0)
+    spec = msgspec.convert(job(), jm.JobSpec)
+    # Decisions go by the guess of 30 s, corrected by the mean of three runs of 12 s.
+    assert 24 < term.runs.run(spec) < 30
+    assert bool(stored_writes(world)) == (setting == 1.0)
+    world.submit(id="wk-000009")
+    world.pass_time(5.0)
+    assert (term.ends(jm.JobId("wk-000009")) is not None) == (setting == 1.0)
+
+
 def test_a_peer_of_an_earlier_version_says_nothing_of_ends(world):
     answers = []
     beat = Beat(NodeName("n0"), True, Token(7), 5)
