Test: tickets start in the very order of the same jobs submitted natively

Change: twelve jobs of mixed priorities on one machine, four seeded orders, half of them by ticket through a gateway and the real user interface. Measured: the order of starts is identical, and never against a stated priority.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -11,14 +11,16 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from meadowcross.common.http import NotSent, Unanswered
+from meadowcross.common.http import NotSent, Reply, Unanswered
 from meadowcross.common.settings import SettingsError
-from meadowcross.jobs.messages import decode_spec
+from meadowcross.jobs.messages import Priority, decode_spec
 from meadowcross.tickets import records as r
 from meadowcross.tickets.controllers import Busy, Controllers
 from meadowcross.tickets.driver import ready, settled
 from meadowcross.tickets.gateway import Gateway, GatewaySettings, load_gateway
 from meadowcross.tickets.members import owner_of
+from meadowcross.tickets.site import Site
+from tests.conftest import World
 from tests.standins import FakeNet, StateService
 from tests.test_tickets import HEAD, ROOT, RUN, SITE
 
@@ -421,8 +423,6 @@
         self.asked.append(address)
         told = self.told[address]
         if isinstance(told, int):
-            from meadowcross.common.http import Reply
-
             return Reply(told, b"{}")
         if told is Unanswered:
             wait: Deferred[None] = Deferred()
@@ -487,3 +487,79 @@
     file.write_text(GATEWAY.replace(old, new))
     with pytest.raises(SettingsError, match=word):
         load_gateway(str(file))
+
+
+class Direct:
+    """A gateway's way to one controller and its state service, in the world of the term's tests."""
+
+    def __init__(self, world):
+        self.world = world
+        self.api = world.api()
+
+    async def call(self, method, address, path, body=None, timeout=2.0):
+        if address != "n0:1":
+            return await self.world.net.call(method, address, path, body, timeout)
+        parts = path.split("/")
+        operation = "submit" if path == "/v1/jobs" else "cancel" if path.endswith("/withdraw") else "query"
+        answer = await self.api.serve(operation, parts[3] if len(parts) > 3 else "", body or b"")
+        return Reply(answer.status, answer.body)
+
+
+def order_of_starts(seed, by_ticket):
+    """Twelve jobs of mixed priorities, all waiting before the only machine comes, which takes one task at
+    a time; some brought as tickets, under the ids that they have natively."""
+    chance = Random(seed)
+    ranks = [chance.choice(["critical", "urgent", "normal", "idle"]) for _ in range(12)]
+    names = [f"wk-{chance.randrange(10**17, 10**18)}" for _ in ranks]
+    tasks = [chance.choice([1, 1, 3]) for _ in ranks]
+    world = World()
+    world.cloud.full = True
+    world.cloud.at_once = 1
+    up = world.cloud.on_rent
+    world.cloud.on_rent = lambda machine: (up(machine), setattr(world.cloud, "full", True))
+    world.lead()
+    site = Site([
+        msgspec.structs.replace(SITE.submitters[0], name=rank, priority=Priority(rank), cpus=4.0, estimate_s=30.0,
+                                types=["small"])
+        for rank in set(ranks)
+    ])  # fmt: skip
+    settings = GatewaySettings("g", "127.0.0.1:1", "state:1", ["n0:1"], "x", 500.0, 500.0, tickets_per_s=50.0)
+    gateway = Gateway(world.clock, Direct(world), settings, site, Random(seed))
+    gateway.start()
+    world.pass_time(3.0)
+    for i, (rank, name, count) in enumerate(zip(ranks, names, tasks, strict=True)):
+        if i in by_ticket:
+            document = HEAD + "steps:\n- name: a\n  parameterSpace:\n    taskParameterDefinitions:\n" + (
+                f'    - {{name: F, type: INT, range: "1-{count}"}}\n  hostRequirements: {{attributes: '
+                "[{name: attr.meadowcross.type, anyOf: [small]}]}\n" + RUN
+            )
+            gateway.driver._new_id = lambda name=name: name
+            body = json.dumps({"key": name, "document": document}).encode()
+            assert world.run(gateway.intake.submit(body, rank)).status == 201
+            world.pass_time(1.0)
+        else:
+            world.submit(id=name, rank=rank, heads=count, cpus=4.0, herd="thumbnail", feedstock="thumbnails",
+                         builds=["small"], sundownS=None)  # fmt: skip
+    world.pass_time(2.0)
+    assert set(world.term.book.jobs) == set(names)
+    world.cloud.full = False
+    for _ in range(300):
+        world.pass_time(0.5)
+        for worker in world.workers.values():
+            for key in list(worker.tasks):
+                worker.end(key)
+        if not world.term.book.jobs:
+            break
+    assert len(world.workers) == 1
+    started = [task for worker in world.workers.values() for task, _ in worker.started]
+    rank_of = dict(zip(names, ranks, strict=True))
+    return started, [rank_of[task.partition("/")[0]] for task in started], sum(tasks)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_tickets_start_in_the_very_order_of_the_same_jobs_submitted_natively(seed):
+    native_order, ranks, count = order_of_starts(seed, set())
+    mixed_order, _, _ = order_of_starts(seed, set(Random(seed + 100).sample(range(12), 6)))
+    assert len(native_order) == count and mixed_order == native_order
+    places = [["critical", "urgent", "normal", "idle"].index(rank) for rank in ranks]
+    assert places == sorted(places), "lower priority went ahead"
