--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Collection
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -186,25 +187,36 @@
     return root
 
 
+def plain_values(where: str, element: Any, known: Collection[str], lists: Collection[str] = ()) -> dict[str, Any]:
+    """The texts of an element's plain children, under their names with underscores; those in `lists` are words
+    apart. Raises SettingsError for what is unknown, nested, or given twice."""
+    values: dict[str, Any] = {}
+    for one in element:
+        name = one.tag.replace("-", "_")
+        if name not in known or len(one) or one.attrib:
+            raise SettingsError(f"{where}: element <{one.tag}>: unknown, or not a plain value")
+        if name in values:
+            raise SettingsError(f"{where}: element <{one.tag}>: given twice")
+        text = (one.text or "").strip()
+        values[name] = text.split() if name in lists else text
+    return values
+
+
 def load_operator(path: str) -> Operator:
     """Read the XML file; refuse what is unknown, out of bounds or declares entities."""
     root = read_xml(path, "meadowcross")
-    values: dict[str, Any] = {}
-    for element in root:
-        name = element.tag.replace("-", "_")
-        bound = BOUNDS.get(name)
-        if bound is None or len(element) or element.attrib:
-            raise SettingsError(f"{path}: element <{element.tag}>: unknown, or not a plain value")
-        if name in values:
-            raise SettingsError(f"{path}: element <{element.tag}>: given twice")
+    values: dict[str, float] = {}
+    for name, text in plain_values(path, root, BOUNDS).items():
+        bound = BOUNDS[name]
+        tag = name.replace("_", "-")
         expected = f"{bound.unit} {'above' if bound.low_excluded else 'from'} {bound.low:g} to {bound.high:g}"
         try:
-            value = float(element.text or "")
+            value = float(text)
         except ValueError:
-            raise SettingsError(f"{path}: element <{element.tag}>: expected {expected}") from None
+            raise SettingsError(f"{path}: element <{tag}>: expected {expected}") from None
         fits = bound.low <= value <= bound.high and not (bound.low_excluded and value == bound.low)
         if not fits or (bound.whole and value != int(value)):
-            raise SettingsError(f"{path}: element <{element.tag}>: expected {expected}")
+            raise SettingsError(f"{path}: element <{tag}>: expected {expected}")
         values[name] = value
     operator = Operator(**values)
     if abs(operator.alpha + operator.beta - 1.0) > 1e-9:
--- a/meadowcross/tickets/asking.py
+++ b/meadowcross/tickets/asking.py
@@ -11,7 +11,7 @@
 from twisted.web.http_headers import Headers
 
 from meadowcross.common.types import Seconds
-from meadowcross.tickets.keys import KeyTrouble, read_private
+from meadowcross.tickets.keys import KeyTrouble, read_private, read_public
 from meadowcross.tickets.signing import secret_of, signature
 
 WITHIN_S: Seconds = 10.0
@@ -26,19 +26,12 @@
     from twisted.internet import ssl
     from twisted.web.client import BrowserLikePolicyForHTTPS
 
-    def read(path: str) -> bytes:
-        try:
-            with open(path, "rb") as file:
-                return file.read()
-        except OSError as error:
-            raise KeyTrouble(f"{path}: can't be read: {error.strerror}") from error
-
     try:
-        root = ssl.Certificate.loadPEM(read(authority))
+        root = ssl.Certificate.loadPEM(read_public(authority))
         own = None
         if certificate is not None:
             key = read_private(f"{certificate.removesuffix('.pem')}.key")
-            own = ssl.PrivateCertificate.loadPEM(read(certificate) + key)
+            own = ssl.PrivateCertificate.loadPEM(read_public(certificate) + key)
     except SSLError as error:
         raise KeyTrouble(f"{authority}: no certificate: {error}") from error
 
--- a/meadowcross/tickets/gateway.py
+++ b/meadowcross/tickets/gateway.py
@@ -13,7 +13,7 @@
 from msgspec import Meta, Struct
 
 from meadowcross.common.http import HttpClient, Router
-from meadowcross.common.settings import SettingsError, StateFacts, read_xml
+from meadowcross.common.settings import SettingsError, StateFacts, plain_values, read_xml
 from meadowcross.common.types import Address
 from meadowcross.store.client import StoreClient
 from meadowcross.tickets.controllers import Controllers
@@ -58,15 +58,7 @@
     """Raises SettingsError: the file, the element, what was expected."""
     root = read_xml(path, "gateway")
     known = {field.encode_name for field in msgspec.structs.fields(GatewaySettings)}
-    values: dict[str, Any] = {}
-    for one in root:
-        name = one.tag.replace("-", "_")
-        if name not in known or len(one) or one.attrib:
-            raise SettingsError(f"{path}: element <{one.tag}>: unknown, or not a plain value")
-        if name in values:
-            raise SettingsError(f"{path}: element <{one.tag}>: given twice")
-        text = (one.text or "").strip()
-        values[name] = text.split() if name == "controllers" else text
+    values = plain_values(path, root, known, ("controllers",))
     try:
         made = msgspec.convert(values, GatewaySettings, strict=False)
     except msgspec.ValidationError as error:
--- a/meadowcross/tickets/keys.py
+++ b/meadowcross/tickets/keys.py
@@ -72,7 +72,8 @@
     )
 
 
-def _read(path: str) -> bytes:
+def read_public(path: str) -> bytes:
+    """Raises KeyTrouble."""
     try:
         with open(path, "rb") as file:
             return file.read()
@@ -82,7 +83,7 @@
 
 def _certificate(path: str) -> x509.Certificate:
     try:
-        return x509.load_pem_x509_certificate(_read(path))
+        return x509.load_pem_x509_certificate(read_public(path))
     except ValueError as error:
         raise KeyTrouble(f"{path}: no certificate: {error}") from error
 
@@ -223,7 +224,7 @@
 def revoked_serials(path: str, authority: x509.Certificate) -> set[int]:
     """The serials on an authority's list. Raises KeyTrouble where it is not that authority's."""
     try:
-        listed = x509.load_pem_x509_crl(_read(path))
+        listed = x509.load_pem_x509_crl(read_public(path))
         key = authority.public_key()
         if not isinstance(key, ec.EllipticCurvePublicKey) or not listed.is_signature_valid(key):
             raise KeyTrouble(f"{path}: not signed by the authority")
--- a/meadowcross/tickets/site.py
+++ b/meadowcross/tickets/site.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta, Struct
 
-from meadowcross.common.settings import SettingsError, read_xml
+from meadowcross.common.settings import SettingsError, plain_values, read_xml
 from meadowcross.jobs.messages import Priority
 
 _Text = Annotated[str, Meta(min_length=1, max_length=200)]
@@ -57,15 +57,7 @@
         where = f"{path}: submitter {number}"
         if element.tag != "submitter":
             raise SettingsError(f"{path}: element <{element.tag}>: expected <submitter>")
-        values: dict[str, Any] = {}
-        for one in element:
-            name = one.tag.replace("-", "_")
-            if name not in known or len(one) or one.attrib:
-                raise SettingsError(f"{where}: element <{one.tag}>: unknown, or not a plain value")
-            if name in values:
-                raise SettingsError(f"{where}: element <{one.tag}>: given twice")
-            text = (one.text or "").strip()
-            values[name] = text.split() if name in ("types", "zones") else text
+        values = plain_values(where, element, known, ("types", "zones"))
         try:
             made = msgspec.convert(values, Submitter, strict=False)
         except msgspec.ValidationError as error:
