--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from measure import bounds, cost, recovery
+from measure import bounds, cost, history, learning, recovery, tickets
 from measure.day import money, read
 
 FACTS = """
@@ -143,3 +143,20 @@
     assert sum(free) - sum(left) == pytest.approx(8 * 30.0 / bounds.STEP_S)
     assert bounds.in_time([idle], [48.0], free, 0.0) == pytest.approx(1.0)
     assert bounds.in_time([idle], [48.0], left, 0.0) == pytest.approx(0.6)
+
+
+def test_a_days_runs_become_a_history(tmp_path, capsys):
+    file = tmp_path / "log"
+    file.write_text("\n".join(LOG))
+    assert history.main([str(file)]) == 0 and history.main([str(tmp_path / "none")]) == 2
+    lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    assert lines and {line["class"] for line in lines} == {"train"}
+    assert all(line["seconds"] > 0 and line["estimate"] == 30.0 and line["type"] == "small" for line in lines)
+    assert {line.get("outcome", "done") for line in lines} >= {"done"}
+
+
+def test_the_costs_of_tickets_and_of_learning_are_measured():
+    cost = tickets.measure(6)
+    assert cost.tickets == 6 and cost.controller_requests_per_ticket >= 6 and cost.accept_ms_p99 > 0
+    off, on = (learning.play(setting, 4, 3) for setting in (0, 2))
+    assert off.changes_stored == 0 and off.tasks_done > 0 and on.tasks_done > 0 and on.cpu_ms_per_task > 0
