Read-through: one list for all claimed partitions, one share of a job's spread, dead code

Cause: a gateway that started read each of its up to 64 partitions by a request of its own; the share of a job's spread in its class's stood in three places; a struct of the replay was unused.

Change: claims that come together are read by one list; Entry.in_job; the struct is gone; the bound of overdue runs is worked out once a job.

Left: the watch's own first list of all open tickets.

--- a/meadowcross/estimates/learned.py
+++ b/meadowcross/estimates/learned.py
@@ -146,6 +146,11 @@
         self.overdue: Overdue = []
         """Of jobs that run longer than expected: logarithm over the middle, and weight."""
 
+    @property
+    def in_job(self) -> float:
+        """How far the tasks of one job differ, as a share of how the class's runs do; at most 1."""
+        return min(1.0, self.spread_in_job / max(self.spread_all, 1e-3))
+
     @property
     def by_time(self) -> bool:
         return self.time_miss < TIME_BETTER * self.ratio_miss
@@ -263,9 +268,7 @@
         alike within themselves."""
         if job is None:
             return logs
-        narrow = 0.5
-        if entry is not None:
-            narrow = min(1.0, max(0.1, entry.spread_in_job / max(entry.spread_all, 1e-3)))
+        narrow = 0.5 if entry is None else max(0.1, entry.in_job)
         # As if its class's jobs were normal around the class, and its tasks around it.
         weight = job.count / (job.count + narrow * narrow)
         factor = 1 - weight * (1 - narrow)
@@ -328,7 +331,7 @@
         """How far the tasks of one job of the class differ, as a share of how its runs do."""
         with self._lock:
             entry = self._entry(m.class_name(spec.job_class))
-            return 0.5 if entry is None else min(1.0, entry.spread_in_job / max(entry.spread_all, 1e-3))
+            return 0.5 if entry is None else entry.in_job
 
     def foresee(self, stage: str, middle: Seconds) -> tuple[Seconds, Seconds, Seconds]:
         """A finish that was worked out, with the interval that such times have held to lately:
@@ -471,7 +474,8 @@
             for spec, lasted in running:
                 job = self._jobs.get(spec.id)
                 logs = self._with_job(self._expected(kind_of(spec))[1], job, self._entry(m.class_name(spec.job_class)))
-                late = [ran for ran in lasted if ran > LEAST_S and log(ran) > logs[GRID.index(OVERDUE_Q)]]
+                late_from = max(LEAST_S, exp(logs[GRID.index(OVERDUE_Q)]))
+                late = [ran for ran in lasted if ran > late_from]
                 if job is not None:
                     job.overdue = [(log(ran) - logs[MIDDLE], 1.0) for ran in sorted(late)[:MAX_OVERDUE]]
                 elif late:
@@ -627,7 +631,7 @@
     its jobs: hundreds of alike tasks of one job would else pass for a change of their class."""
     if job is None:
         return 1.0
-    alike = 1 - min(1.0, entry.spread_in_job / max(entry.spread_all, 1e-3)) ** 2
+    alike = 1 - entry.in_job**2
     before, after = (n / (1 + (n - 1) * alike) for n in (job.count, job.count + 1))
     return after - before
 
--- a/meadowcross/estimates/replay.py
+++ b/meadowcross/estimates/replay.py
@@ -120,13 +120,6 @@
     corrected_mean: Score = field(default_factory=Score)
 
 
-class Point(Struct):
-    """One judged run, for the plot."""
-
-    said: Said
-    actual: Seconds
-
-
 class Tally:
     def __init__(self) -> None:
         self.said: list[tuple[Said, Seconds]] = []
--- a/meadowcross/tickets/driver.py
+++ b/meadowcross/tickets/driver.py
@@ -95,6 +95,8 @@
         self.open: dict[r.TicketId, Open] = {}
         self._running = 0
         self._stopped = False
+        self._unread: set[r.Partition] = set()
+        self._loading = False
         self._tick = LoopingCall(self._look)
         self._tick.clock = clock  # type: ignore[assignment]
 
@@ -110,25 +112,32 @@
     # What we drive
 
     def claimed(self, partition: r.Partition) -> None:
-        Deferred.fromCoroutine(self._load(partition))
+        """Claims come by the dozen; one list serves all that came since the last began."""
+        self._unread.add(partition)
+        if not self._loading:
+            self._loading = True
+            Deferred.fromCoroutine(self._load())
 
     def lost(self, partition: r.Partition) -> None:
         for ticket in [ticket for ticket in self.open if r.partition_of(ticket) == partition]:
             del self.open[ticket]
 
-    async def _load(self, partition: r.Partition) -> None:
+    async def _load(self) -> None:
         wait = RETRY_S
-        while not self._stopped and partition in self._members().claims:
+        while self._unread and not self._stopped:
+            await pause(self._clock, 0.0)
+            wanted, self._unread = self._unread, set()
             try:
-                items, _ = await self._store.list(r.part_prefix(r.OPEN, partition), Urgency.PLACEMENT, PAGE)
-            except (Unavailable, Unknown, Refused) as error:
-                log.debug("partition %d is not read yet: %s", partition, error)
+                items, _ = await self._store.list(r.OPEN, Urgency.PLACEMENT, PAGE)
+            except (Unavailable, Unknown, Refused, msgspec.DecodeError) as error:
+                log.debug("%d partitions are not read yet: %s", len(wanted), error)
+                self._unread |= wanted
                 await pause(self._clock, wait)
                 wait = min(RETRY_MOST_S, 2 * wait)
                 continue
             for item in items:
                 self.seen(item.key, item.value, item.mark)
-            return
+        self._loading = False
 
     async def _watch(self) -> None:
         """New tickets and cancels, whichever gateway took them."""
