A warm standby: nodes follow the store, hear what only the leader knows, end a dead leader's hold

Change: replica/ follows the store (one read, then its feed, four requests a second at the most), hears the leader's hints over the peer link as numbered changes, and gives a new term its picture, complete up to the leader key's revision. leadership/standby.py ends a lost leader's hold by evidence: its address refuses, every peer heard says so too, and its writes stopped or its workers came by. Who stands first follows from who is warm and heard; a leader that makes way or is told to stop hands over in one transaction. The picture is compared with the store in the background without writes or listings. Ended jobs are answered from the picture. Switched by warm-standby.

Tests: tables of the picture, hints and evidence; in the lab five kinds of false alarm end no hold, hints that lie prove nothing, a wrong picture ends its term.

Ruled out: a shorter hold for all, as a busy leader would lose it; ending by silence alone, as a frozen leader may wake.

--- a/lab/standins.py
+++ b/lab/standins.py
@@ -280,7 +280,7 @@
         if host is None or fault == "refuse":
             raise NotSent(address)
         parts = urlsplit(path)
-        query = dict(parse_qsl(parts.query))
+        query = dict(parse_qsl(parts.query, keep_blank_values=True))
         if fault == "late":
             self.late.append(lambda: host(method, parts.path, query, body or b""))
             raise Unanswered(address)
@@ -314,7 +314,7 @@
 
         def answer(self) -> None:
             parts = urlsplit(self.path)
-            query = dict(parse_qsl(parts.query))
+            query = dict(parse_qsl(parts.query, keep_blank_values=True))
             body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
             if parts.path == "/watch":
                 status, value = self.watch(query)
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -16,6 +16,7 @@
     Operator,
     Settings,
     SettingsError,
+    digest,
     load_operator,
     load_settings,
 )
@@ -58,15 +59,25 @@
     gc.set_threshold(GC_OBJECTS, GC_TIMES, GC_TIMES)
     # Only now: --help and --check need no reactor, and a start's cost is counted.
     from twisted.internet import reactor
+    from twisted.internet.defer import Deferred
 
-    Node(reactor, settings, operator).start()
+    node = Node(reactor, settings, operator)
+    node.start()
+    loop: Any = reactor
+    loop.addSystemEventTrigger("before", "shutdown", lambda: Deferred.fromCoroutine(node.leave("told to stop")))
     gc.freeze()
-    reactor.run()  # type: ignore[misc]
+    loop.run()
     return 0
 
 
 
 
+def most_bytes(settings: Settings) -> int:
+    """For the picture of the store: a quarter of what the process may hold, or as much as seems small anywhere."""
+    limits = settings.facts.machine_limits
+    return int((limits.mem_mb if limits is not None else 256.0) / 4 * 2**20)
+
+
 class Node:
     """One controller: all slices, wired together."""
 
@@ -77,11 +88,16 @@
         from meadowcross.fleet.cloud import Cloud
         from meadowcross.jobs.api import JobApi
         from meadowcross.jobs.messages import Progress
-        from meadowcross.leadership.election import Election
-        from meadowcross.leadership.messages import Beat
+        from meadowcross.leadership.election import Election, Successor
+        from meadowcross.leadership.messages import Beat, LeaderRecord
         from meadowcross.leadership.peerlink import PeerLink
         from meadowcross.leadership.reach import heard_window
+        from meadowcross.leadership.standby import Standby
         from meadowcross.leadership.term import Term
+        from meadowcross.replica.follower import Follower
+        from meadowcross.replica.hints import Hearer, Teller
+        from meadowcross.replica.messages import Handed, Hints, HintsWanted
+        from meadowcross.replica.picture import Counts
         from meadowcross.store.client import SHARE_OF_LEADER, SHARE_OF_OTHERS, StoreClient
         from meadowcross.workers.api import WorkerApi
         from meadowcross.workers.visitors import Visitors
@@ -96,6 +112,11 @@
         cloud = Cloud(reactor, http, Address(settings.outside.cloud), facts.cloud)
         self.catalog = Catalog(reactor, cloud, self.store)
         self.term: Term | None = None
+        life = uuid.uuid4().hex
+        same = digest(settings, operator)
+        self.follower = Follower(reactor, self.store, most_bytes(settings)) if operator.warm_standby >= 1 else None
+        follower = self.follower
+        self._teller: Teller | None = None
 
         def begin_term(token: Token) -> Term:
             self.store.set_share(SHARE_OF_LEADER)
@@ -110,8 +131,11 @@
                 token,
                 self.election,
                 self.link.most_heard,
+                follower,
+                hearer.take(token) if follower is not None else None,
             )
             self.term = term
+            self._teller = Teller(node, token, same) if follower is not None else None
             term.start()
             return term
 
@@ -150,19 +174,68 @@
             return term.on_report if term is not None else None
 
         def beat() -> Beat:
-            return Beat(node, self.store.answering(), self.election.token, visitors.count())
+            warm = follower is not None and follower.warm
+            return Beat(
+                node, self.store.answering(), self.election.token, visitors.count(), life, warm, self.link.all_lost()
+            )
 
         def on_beat(beat: Beat) -> None:
+            if self.standby is not None:
+                self.standby.heard(beat)
             own = self.election.token
             if own is not None and beat.leads is not None and beat.leads > own:
                 self.election.stand_down(f"{beat.node} leads with token {beat.leads}")
 
         visitors = Visitors(reactor, heard_window(facts.workers.report_s))
-        self.election = Election(reactor, self.store, node, uuid.uuid4().hex, operator.hold_s, begin_term, end_term)
+
+        def turn() -> float:
+            return self.standby.turn() if self.standby is not None else 0.0
+
+        async def successor() -> Successor | None:
+            """The peer that is placed best, if it is ready to lead."""
+            beats = [one for one in self.link.fresh_beats() if one.warm and one.store_ok]
+            for one in sorted(beats, key=lambda one: (-one.hears, one.node))[:1]:
+                handed = await self.link.ask_to_lead(one.node)
+                if handed is not None and handed.hold is not None:
+                    return Successor(LeaderRecord(one.node, handed.life), handed.hold)
+            return None
+
+        self.election = Election(
+            reactor, self.store, node, life, operator.hold_s, begin_term, end_term, turn, successor
+        )
+
         async def serve(operation: str, job: str, body: bytes) -> Answer:
             return await api.serve(operation, job, body)
 
-        self.link = PeerLink(reactor, settings.peers, beat, own_progress, on_beat, serve)
+        async def be_handed(number: int) -> Handed:
+            ready = await self.election.be_handed() if follower is not None and follower.warm else None
+            return Handed(number, ready.hold, life) if ready is not None else Handed(number)
+
+        def on_replica(message: Hints | HintsWanted) -> None:
+            if isinstance(message, Hints):
+                hearer.hear(message)
+                counts = message.counts
+                if follower is not None and counts and not follower.agrees(counts[0], Counts(*counts[1:])):
+                    follower.let_go(f"it differs from the leader's at revision {counts[0]}")
+            elif self._teller is not None:
+                self._teller.again()
+
+        def on_lost(peer: NodeName) -> None:
+            if self.standby is not None:
+                self.standby.peer_lost(peer)
+
+        hearer = Hearer(reactor, same, lambda leader: self.link.tell(HintsWanted(node), leader))
+        self.link = PeerLink(
+            reactor, settings.peers, beat, own_progress, on_beat, serve, on_replica, on_lost, be_handed
+        )
+        self.standby = (
+            Standby(
+                reactor, self.store, self.election, follower, self.link.lost, self.link.fresh_beats, beat,
+                visitors.since, operator.hold_s,
+            )
+            if follower is not None and operator.warm_standby >= 2
+            else None
+        )  # fmt: skip
         self.router = Router()
         api = JobApi(
             reactor,
@@ -173,6 +246,8 @@
             progress,
             self.link.peer_has_store,
             self.link.forward,
+            follower.get if follower is not None else lambda key: None,
+            lambda: follower.state.value if follower is not None else "off",
         )
         api.routes(self.router)
         WorkerApi(take_report, leader_name, visitors).routes(self.router)
@@ -182,10 +257,25 @@
         import meadowcross.estimates.keeper
         import meadowcross.leadership.outlook  # noqa: F401
 
+    def _tell(self) -> None:
+        """What only the leader knows, to its peers; behind everything else, and bounded."""
+        term, teller = self.term, self._teller
+        if term is None or teller is None or term.stopped:
+            return
+        hints = term.tell()
+        if hints is not None:
+            self.link.tell(teller.next(hints))
+
+    async def leave(self, why: str) -> None:
+        """Stop leading before this process ends, handing over where a peer is ready."""
+        await self.election.leave(why)
+
     def start(self) -> None:
         from twisted.internet.defer import Deferred
+        from twisted.internet.task import LoopingCall
 
         from meadowcross.common.http import api_factory
+        from meadowcross.replica.hints import TELL_S
 
         host, _, port = self._settings.api_addr.rpartition(":")
         self._reactor.listenTCP(int(port), api_factory(self.router, self._reactor), interface=host, backlog=512)
@@ -193,4 +283,9 @@
         if self._operator.learned_estimates >= 1:
             self._reactor.callLater(PREPARE_S, self._prepare)
         Deferred.fromCoroutine(self.catalog.run())
+        if self.follower is not None:
+            Deferred.fromCoroutine(self.follower.run())
+            telling = LoopingCall(self._tell)
+            telling.clock = self._reactor
+            telling.start(TELL_S, now=False)
         Deferred.fromCoroutine(self.election.run())
--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import tomllib
 from collections.abc import Collection
 from typing import Annotated, Any, NamedTuple
@@ -101,6 +102,16 @@
     peers: list[Peer] = []
 
 
+STORED_FORMAT = 1
+"""Of what is kept in the state service; a node does not use a picture or hints of another."""
+
+
+def digest(settings: Settings, operator: Operator) -> str:
+    """Tells whether another node decides by the same facts, settings and stored formats."""
+    said = msgspec.json.encode([STORED_FORMAT, settings.facts, operator])
+    return hashlib.sha256(said).hexdigest()[:16]
+
+
 def load_settings(path: str) -> Settings:
     try:
         with open(path, "rb") as file:
@@ -142,6 +153,7 @@
     drain_after_s: float = 10.0
     spare_percent: float = 15.0
     learned_estimates: float = 0.0
+    warm_standby: float = 2.0
 
 
 BOUNDS = {
@@ -163,6 +175,7 @@
     "drain_after_s": Bound("seconds", 0, 86400),
     "spare_percent": Bound("percent", 0, 1000),
     "learned_estimates": Bound("0: off, 1: learned and told, 2: used as well; a whole number", 0, 2, whole=True),
+    "warm_standby": Bound("0: off, 1: follows, 2: ends a dead leader's hold as well; a whole number", 0, 2, whole=True),
 }
 
 
--- a/meadowcross/fleet/boots.py
+++ b/meadowcross/fleet/boots.py
@@ -32,6 +32,18 @@
     def came_up(self, machine_type: MachineType, took: Seconds, now: Instant) -> None:
         self._seen.setdefault(machine_type.name, deque(maxlen=MOST)).append((now, took))
 
+    def seen(self, now: Instant) -> dict[str, list[tuple[Seconds, Seconds]]]:
+        """By type, how long ago machines came up lately, and how long they took."""
+        return {
+            name: [(now - at, took) for at, took in seen if now - at <= LATELY_S] for name, seen in self._seen.items()
+        }
+
+    def presume(self, boots: dict[str, list[tuple[Seconds, Seconds]]], now: Instant) -> None:
+        """What the leader before saw, put before our own."""
+        for name, seen in boots.items():
+            known = self._seen.setdefault(name, deque(maxlen=MOST))
+            known.extendleft((Instant(now - age), took) for age, took in reversed(seen))
+
     def expected(self, machine_type: MachineType, now: Instant) -> Seconds:
         # Asked for every machine, so worked out once a second.
         at, known = self._expected.get(machine_type.name, (Instant(-inf), 0.0))
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -55,6 +55,8 @@
 class View(Offers, Protocol):
     """What the fleet sees of the work at hand."""
 
+    @property
+    def window(self) -> Seconds: ...
     def offerable(self, machine: Machine) -> bool: ...
     def wants(self) -> list[Want]: ...
     def rooms(self) -> dict[str, Room]: ...
@@ -133,6 +135,25 @@
         if self._tick.running:
             self._tick.stop()
 
+    def known(self) -> tuple[dict[str, list[tuple[Seconds, Seconds]]], list[tuple[MachineKind, Seconds]], Seconds]:
+        """For the next leader: boots seen, kinds refused and for how much longer, how long ago work was pressed."""
+        now = self.now
+        closed = [(kind, until - now) for kind, until in self._closed.items() if until > now]
+        return self.boots.seen(now), closed, now - self._pressed_at
+
+    def presume(
+        self,
+        boots: dict[str, list[tuple[Seconds, Seconds]]],
+        closed: list[tuple[MachineKind, Seconds]],
+        pressed: Seconds | None,
+    ) -> None:
+        """The same, from the leader before."""
+        now = self.now
+        self.boots.presume(boots, now)
+        self._closed.update((kind, now + left) for kind, left in closed if left > 0)
+        if pressed is not None:
+            self._pressed_at = max(self._pressed_at, now - pressed)
+
     def is_deleted(self, machine: MachineId) -> bool:
         return machine in self._deleted
 
@@ -213,15 +234,18 @@
         now = self.now
         view = self._leader.view
         # Counted as soon as silence shows, or those silent first would be given up before the others.
-        heard = [(x.kind.zone, view.silent(x)) for x in self._leader.roster.machines.values() if x.up]
+        there = [x for x in self._leader.roster.machines.values() if x.up or x.presumed_at is not None]
+        heard = [(x.kind.zone, view.silent(x)) for x in there]
         told = DEAD_LISTED_S + 2 * LIST_FACTOR * self._facts.cloud.list_lag_s
         kept = patience(heard, self._operator.silent_s, told)
         for machine in list(self._leader.roster.machines.values()):
             if machine.condemned is not None:
                 continue
-            if machine.up:
+            if machine.up or machine.presumed_at is not None:
+                # Heard by the leader before us, it is judged as if we had been that one, once it can have found us.
+                found_us = machine.up or now - self._began > view.window
                 silence = view.silence(machine)
-                if silence > kept[machine.kind.zone]:
+                if found_us and silence > kept[machine.kind.zone]:
                     self.condemn(machine, f"silent for {silence:.1f} s")
                 elif view.silent(machine):
                     self._leader.sender.greet(machine.id)
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -14,7 +14,7 @@
 from meadowcross.common.types import EPSILON, JobId, Mark, WallTime
 from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs import messages as m
-from meadowcross.jobs.lookup import Lookup
+from meadowcross.jobs.lookup import Followed, Lookup
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown
@@ -84,6 +84,8 @@
         progress: Asked,
         peer_has_store: Callable[[], bool],
         forward: Forward,
+        followed: Followed = lambda key: None,
+        standing: Callable[[], str] = lambda: "off",
     ) -> None:
         self._clock = clock
         self._store = store
@@ -93,7 +95,8 @@
         self._progress = progress
         self._peer_has_store = peer_has_store
         self._forward = forward
-        self._lookup = Lookup(clock, store)
+        self._lookup = Lookup(clock, store, followed)
+        self._standing = standing
         self._open = Counter[str]()
         self._chunk = max(1, store.max_value // 64)
 
@@ -158,7 +161,7 @@
             # Only this node is without the store: users do better elsewhere. In an outage
             # of all nodes it stays ready, and answers at once when to come back.
             return reason(503, "the state service does not answer this node", RETRY_AFTER_S)
-        return Answer(200, b'{"ready":true}\n')
+        return Answer(200, b'{"ready":true,"standby":"%s"}\n' % self._standing().encode())
 
     async def submit(self, body: bytes) -> Answer:
         try:
--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from threading import Lock
 from typing import Any, NamedTuple, TypeVar
 
@@ -46,8 +46,13 @@
 Found = m.EndedRecord | Open | None
 
 
+Followed = Callable[[str], sm.Item | None]
+"""What this node's picture of the store holds under a key; it may lag."""
+
+
 class Lookup:
-    def __init__(self, clock: Clock, store: StoreClient) -> None:
+    def __init__(self, clock: Clock, store: StoreClient, followed: Followed = lambda key: None) -> None:
+        self._followed = followed
         self._clock = clock
         self._store = store
         self._lock = Lock()
@@ -59,7 +64,20 @@
 
     def final(self, job: JobId) -> m.EndedRecord | None:
         with self._lock:
-            return self._ended.get(job)
+            ended = self._ended.get(job)
+        if ended is None and (item := self._followed(m.ended_key(job))) is not None:
+            # A picture that lags may lack an end, but ends never change: no request is needed.
+            ended = self.ended(job, m.decode_ended(item.value))
+        return ended
+
+    def _remembered(self, job: JobId) -> Open | None:
+        """The version to compare: as last read, or as followed."""
+        with self._lock:
+            seen = self._open.get(job)
+        if (seen is None or seen is ABSENT) and (item := self._followed(m.open_key(job))) is not None:
+            found = self.seen(job, item)
+            return found if isinstance(found, Open) else seen
+        return seen
 
     def ended(self, job: JobId, record: m.EndedRecord) -> m.EndedRecord:
         """Only final states may be answered from memory: they never change."""
@@ -130,8 +148,7 @@
 
     async def _read(self, jobs: Iterable[JobId], found: dict[JobId, Found]) -> None:
         """Put into `found` what is found out; what a failing read leaves is unanswered."""
-        with self._lock:
-            known = {job: seen for job in jobs if (seen := self._open.get(job)) is not None}
+        known = {job: seen for job in jobs if (seen := self._remembered(job)) is not None}
         conditions = []
         for job, seen in known.items():
             conditions.append(sm.Condition(m.open_key(job), seen.mark))
@@ -140,6 +157,9 @@
         changed = await self._store.compare(conditions) if conditions else set()
         unread = []
         for job in jobs:
+            if (ended := self.final(job)) is not None:
+                found[job] = ended
+                continue
             remembered = known.get(job)
             if remembered is None or m.open_key(job) in changed or m.ended_key(job) in changed:
                 unread.append(job)
--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from math import inf
+from typing import NamedTuple, Protocol
 
 from twisted.internet.defer import Deferred
 
@@ -35,6 +36,13 @@
     def stop(self) -> None: ...
 
 
+class Successor(NamedTuple):
+    """Who takes over in one step: the record to write, and the hold to attach it to."""
+
+    record: LeaderRecord
+    hold: HoldId
+
+
 class Election:
     def __init__(
         self,
@@ -45,7 +53,14 @@
         hold_s: Seconds,
         begin_term: Callable[[Token], Term],
         end_term: Callable[[], None],
+        turn: Callable[[], Seconds] = lambda: 0.0,
+        successor: Callable[[], Awaitable[Successor | None]] | None = None,
     ) -> None:
+        self._turn = turn
+        self._successor = successor
+        self._waited = False
+        self._standing = False
+        self._prepared_at = -inf
         self._clock = clock
         self._store = store
         self._record = LeaderRecord(node, life)
@@ -90,15 +105,28 @@
             self._seen = None
             if self._clock.seconds() < self._yields_until:
                 await pause(self._clock, RETRY_S)
-            else:
+                return
+            wait = 0.0 if self._waited else self._turn()
+            self._waited = wait > 0
+            if wait > 0:
+                # One after the other, by who is placed best, instead of all at once.
+                await pause(self._clock, wait)
+                return
+            self._standing = True
+            try:
                 await self._stand()
+            finally:
+                self._standing = False
             return
+        self._waited = False
         record = decode_leader(item.value)
         token = Token(item.mark)
         self._seen = (record.node, token)
         if record.life == self._record.life:
             # Ours: also where a lost answer hid that the key was created, at once or late.
             if self._hold is not None and item.hold == self._hold:
+                # Handed over, the hold may be older than what we last asked for.
+                self._sure_until = max(self._sure_until, self._prepared_at + self._hold_s)
                 await self._lead(token)
                 return
             if item.hold is not None:
@@ -107,9 +135,36 @@
         self._made_way_in_vain = False
         await self._await_vacancy(Mark(item.mark))
 
+    def prepare(self) -> None:
+        """The place may be free in a moment: open the hold that it takes now."""
+        Deferred.fromCoroutine(self._prepare())
+
+    async def _prepare(self) -> HoldId | None:
+        """A hold with most of its time left, and not the one of a term; None without an answer."""
+        if self.token is not None:
+            return None
+        asked = self._clock.seconds()
+        try:
+            if asked - self._prepared_at > self._hold_s / 2 or self._hold is None:
+                hold = await self._store.open_hold(self._hold_s)
+                if self.token is not None or self._standing:
+                    return None
+                self._hold, self._prepared_at = hold, asked
+        except (Unavailable, Unknown, Refused) as error:
+            log.debug("no hold yet: %s", error)
+            return None
+        return self._hold
+
+    async def be_handed(self) -> Successor | None:
+        """Asked by a leader that makes way: what it shall write for us to lead."""
+        hold = await self._prepare()
+        return Successor(self._record, hold) if hold is not None else None
+
     async def _stand(self) -> None:
         asked = self._clock.seconds()
-        if self._hold is None or not await self._store.renew_hold(self._hold, self._hold_s):
+        if self._hold is not None and asked - self._prepared_at <= self._hold_s / 2:
+            asked = self._prepared_at
+        elif self._hold is None or not await self._store.renew_hold(self._hold, self._hold_s):
             self._hold = await self._store.open_hold(self._hold_s)
         self._sure_until = asked + self._hold_s
         try:
@@ -186,8 +241,28 @@
         if self._made_way_in_vain:
             return
         self._made_way_in_vain = True
+        Deferred.fromCoroutine(self.leave(why))
+
+    async def leave(self, why: str) -> None:
+        """Stop leading, in one step with the next leader's beginning where a peer is ready for it."""
+        token, term = self.token, self._term
+        if token is None or term is None:
+            return
         self._yields_until = self._clock.seconds() + YIELD_HOLDS * self._hold_s
-        self.stand_down(why)
+        successor = await self._successor() if self._successor is not None else None
+        if successor is not None and self.token == token:
+            try:
+                await self._store.transact(
+                    [sm.Condition(LEADER_KEY, Mark(token))],
+                    [sm.Put(LEADER_KEY, sm.raw(successor.record), successor.hold)],
+                    Urgency.LEADERSHIP,
+                )
+                why = f"{why}; handed over to {successor.record.node}"
+            except (Conflicted, Unavailable, Unknown, Refused) as error:
+                # Applied late or not at all: with our hold ended, either way the others may stand.
+                log.info("not handed over: %s", error)
+        if self._term is term:
+            self.stand_down(why)
 
     def stand_down(self, why: str) -> None:
         """A higher token was seen, or a commit showed that the key is no longer ours."""
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from meadowcross.common.types import JobId, NodeName, Seconds, Token
+from meadowcross.replica.messages import Handed, Handover, Hints, HintsWanted
 
 LEADER_KEY = "lead"
 
@@ -25,6 +26,12 @@
     leads: Token | None = None
     hears: int = 0
     """How many workers reported to it lately, whoever leads."""
+    life: str = ""
+    """Tells this process from its predecessors; empty from a node of an earlier version."""
+    warm: bool = False
+    """Whether it follows the store and could lead at once."""
+    lost: list[NodeName] = []
+    """Peers whose link to it was closed, and that refuse to be called."""
 
 
 class ProgressQuestion(Struct, tag="progress?", tag_field="kind"):
@@ -61,7 +68,7 @@
     retry_after: int | None = None
 
 
-Message = Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded
+Message = Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded | Hints | HintsWanted | Handover | Handed
 
 encode = msgspec.json.Encoder().encode
 decode = msgspec.json.Decoder(Message).decode
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -12,6 +12,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeout
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import Factory, ReconnectingClientFactory
 from twisted.internet.task import LoopingCall
 from twisted.protocols.basic import NetstringReceiver
@@ -23,6 +24,7 @@
 from meadowcross.common.types import JobId, NodeName, Seconds, Token
 from meadowcross.jobs.messages import Progress
 from meadowcross.leadership import messages as m
+from meadowcross.replica.messages import Handed, Handover, Hints, HintsWanted
 
 log = logger("leadership")
 
@@ -34,6 +36,7 @@
 MAX_JOBS = 1_000
 """Of one question, so that its answer fits a netstring."""
 
+Reply = m.ProgressAnswer | m.Forwarded | Handed
 Serve = Callable[[str, str, bytes], Awaitable[Answer]]
 """Answers a peer's user: the operation, the job's id where it is not in the body, the body."""
 
@@ -73,10 +76,13 @@
     maxDelay = 2.0  # type: ignore[assignment]
     factor = 1.5
     noisy = False
+    at_once = 0.01
+    """A closed link is called again at once: a process that ended refuses, which is news for all."""
 
-    def __init__(self, link: PeerLink, peer: NodeName) -> None:
+    def __init__(self, link: PeerLink, peer: NodeName, clock: Any) -> None:
         self._link = link
         self._peer = peer
+        self.clock = clock
 
     def buildProtocol(self, addr: Any) -> _Line:
         self.resetDelay()
@@ -84,6 +90,15 @@
         line.peer = self._peer
         return line
 
+    def clientConnectionLost(self, connector: Any, unused_reason: Any) -> None:
+        self.delay = self.at_once
+        self.retry(connector)
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
+        self.delay = max(self.delay, self.initialDelay)
+        self._link.unreached(self._peer, bool(reason.check(ConnectionRefusedError)))
+        super().clientConnectionFailed(connector, reason)
+
 
 class _Listener(Factory):
     noisy = False
@@ -104,6 +119,9 @@
         progress_of: Callable[[JobId], Progress | None],
         on_beat: Callable[[m.Beat], None],
         serve: Serve,
+        on_replica: Callable[[Hints | HintsWanted], None] = lambda message: None,
+        on_lost: Callable[[NodeName], None] = lambda peer: None,
+        hand_over: Callable[[int], Awaitable[Handed]] | None = None,
     ) -> None:
         self._clock = clock
         self._peers = peers
@@ -111,9 +129,15 @@
         self._progress_of = progress_of
         self._on_beat = on_beat
         self._serve = serve
+        self._on_replica = on_replica
+        self._on_lost = on_lost
+        self._hand_over = hand_over
+        self._lost: dict[NodeName, float] = {}
+        """Peers whose link was closed and that refuse to be called, and when it was closed."""
+        self._closed_at: dict[NodeName, float] = {}
         self._lines: dict[NodeName, _Line] = {}
         self._beats: dict[NodeName, tuple[float, m.Beat]] = {}
-        self._questions: dict[int, Deferred[m.ProgressAnswer | m.Forwarded]] = {}
+        self._questions: dict[int, Deferred[Reply]] = {}
         self._asking: dict[JobId, list[Deferred[Progress | None]]] = {}
         self._number = 0
 
@@ -122,18 +146,56 @@
         reactor.listenTCP(int(port), _Listener(self), interface=host)
         for peer in self._peers:
             peer_host, _, peer_port = peer.endpoint.rpartition(":")
-            reactor.connectTCP(peer_host, int(peer_port), _Caller(self, NodeName(peer.host_name)), timeout=2)
+            reactor.connectTCP(peer_host, int(peer_port), _Caller(self, NodeName(peer.host_name), self._clock), timeout=2)
         loop = LoopingCall(self._send_beats)
         loop.clock = self._clock  # type: ignore[assignment]
         loop.start(BEAT_S)
 
     def opened(self, peer: NodeName, line: _Line) -> None:
         self._lines[peer] = line
+        self._lost.pop(peer, None)
         line.send(self._own_beat())
 
     def closed(self, peer: NodeName, line: _Line) -> None:
         if self._lines.get(peer) is line:
             del self._lines[peer]
+            self._closed_at[peer] = self._clock.seconds()
+
+    def unreached(self, peer: NodeName, refused: bool) -> None:
+        """A call to a peer failed. Refused soon after its link was closed, it is lost: others hear of it at
+        once. A call without an answer says nothing."""
+        closed = self._closed_at.pop(peer, None)
+        if refused and closed is not None and peer not in self._lost:
+            self._lost[peer] = closed
+            self._send_beats()
+            self._on_lost(peer)
+
+    def lost(self, peer: NodeName) -> bool:
+        """Whether the link to a peer was closed, its address refuses, and no beat of it came since."""
+        closed = self._lost.get(peer)
+        return closed is not None and self._beats.get(peer, (0.0, None))[0] <= closed
+
+    def all_lost(self) -> list[NodeName]:
+        return [peer for peer in self._lost if self.lost(peer)]
+
+    def tell(self, message: Hints | HintsWanted, peer: NodeName | None = None) -> None:
+        """To one peer, or to all that understand it: a node of an earlier version says no life."""
+        for name, line in list(self._lines.items()):
+            beat = self._beats.get(name, (0.0, None))[1]
+            if (peer is None or name == peer) and beat is not None and beat.life:
+                line.send(message)
+
+    def fresh_beats(self) -> list[m.Beat]:
+        """The last beats of all peers that were heard lately and are not lost since."""
+        return [beat for beat in self._fresh() if not self.lost(beat.node)]
+
+    async def ask_to_lead(self, peer: NodeName) -> Handed | None:
+        line = self._lines.get(peer)
+        answer = await self._question(line, Handover, ANSWER_S) if line is not None else None
+        return answer if isinstance(answer, Handed) else None
+
+    async def _answer_handover(self, line: _Line, message: Handover) -> None:
+        line.send(await self._hand_over(message.number) if self._hand_over is not None else Handed(message.number))
 
     def _send_beats(self) -> None:
         beat = self._own_beat()
@@ -151,6 +213,10 @@
             line.send(m.ProgressAnswer(message.number, counts, ends))
         elif isinstance(message, m.Forward):
             Deferred.fromCoroutine(self._serve_peer(line, message))
+        elif isinstance(message, (Hints, HintsWanted)):
+            self._on_replica(message)
+        elif isinstance(message, Handover):
+            Deferred.fromCoroutine(self._answer_handover(line, message))
         else:
             waiting = self._questions.pop(message.number, None)
             if waiting is not None:
@@ -166,13 +232,13 @@
 
     async def _question(
         self, line: _Line, make: Callable[[int], m.Message], timeout: Seconds
-    ) -> m.ProgressAnswer | m.Forwarded | None:
+    ) -> Reply | None:
         """Send a question under a number of its own and wait for its answer."""
         if len(self._questions) >= MAX_QUESTIONS:
             return None
         self._number += 1
         number = self._number
-        reply: Deferred[m.ProgressAnswer | m.Forwarded] = Deferred()
+        reply: Deferred[Reply] = Deferred()
         self._questions[number] = reply
         line.send(make(number))
         reply.addTimeout(timeout, self._clock)  # type: ignore[arg-type]
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -23,6 +23,7 @@
     MachineId,
     MachineKind,
     Mark,
+    NodeName,
     Seconds,
     Token,
     WallTime,
@@ -41,6 +42,10 @@
 from meadowcross.placement.engine import Choice, place
 from meadowcross.placement.moves import moves
 from meadowcross.placement.preemption import GivingWay
+from meadowcross.replica.follower import Follower
+from meadowcross.replica.messages import Hints
+from meadowcross.replica.picture import Picture
+from meadowcross.replica.proof import differences
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Refused, StoreClient, Unavailable, Unknown, WatchTooOld
@@ -85,7 +90,11 @@
         token: Token,
         election: Election,
         most_heard: Callable[[], int | None],
+        follower: Follower | None = None,
+        hints: Hints | None = None,
     ) -> None:
+        self._follower = follower
+        self._hints = hints
         self._clock: Clock = reactor
         self._settings = settings
         self._operator = operator
@@ -100,7 +109,8 @@
         self._leader_condition = sm.Condition(LEADER_KEY, Mark(token))
         self._learn(operator)
         self.view = View(reactor, settings.facts, types, self.book, self.roster, self.health, self.runs)
-        self.committer = Committer(reactor, store, self._leader_condition, self._reread)
+        self._wrote = Mark(0)
+        self.committer = Committer(reactor, store, self._leader_condition, self._reread, self._written)
         self.sender = Sender(
             reactor, http, self.roster, token, self._on_direct_report, self._on_unsent, self._may_start
         )
@@ -116,6 +126,8 @@
                 reactor, self.book, self.roster, self.view, types, self.fleet, self._learned
             )
         self.loaded = False
+        self._followed = False
+        """Whether the picture that the term began with had been followed, not read."""
         self._stopped = False
         self._pass_set = False
         self._pass_took: Seconds = 0.0
@@ -187,6 +199,8 @@
         self.fleet.stop()
         if self._tick.running:
             self._tick.stop()
+        if self._follower is not None:
+            self._follower.led()
 
     @property
     def stopped(self) -> bool:
@@ -204,29 +218,53 @@
                 await pause(self._clock, 0.3)
         if self._stopped or revision is None:
             return
+        self._presume()
         self.loaded = True
         log.info(
-            "term %d: %d open jobs, %d machines, %d placements",
+            "term %d: %d open jobs, %d machines, %d placements, %s, %s",
             self.token,
             len(self.book.jobs),
             len(self.roster.machines),
             sum(len(m.placements) for m in self.roster.machines.values()),
+            "followed" if self._followed else "read",
+            "with hints" if self._hints is not None else "without hints",
+        )
+        # First where work that waits may go, then where most is about to end.
+        reached = sorted(
+            (machine for machine in self.roster.machines.values() if machine.addr is not None),
+            key=lambda machine: (machine.id not in self.roster.roomy, -len(machine.placements), machine.id),
         )
-        reached = [machine for machine in self.roster.machines.values() if machine.addr is not None]
         self._unanswered = len(reached) - len(reached) // 10
         for machine in reached:
             self.sender.greet(machine.id)
         self.fleet.start()
         self._tick.start(TICK_S)
+        if self._followed:
+            Deferred.fromCoroutine(self._prove())
         if self.estimates is not None:
             # The first seconds belong to the workers, the first placements and the users.
             self._clock.callLater(ESTIMATES_AFTER_S, self.estimates.start)
         await self._watch(revision)
 
+    async def _picture(self) -> tuple[list[sm.Item], list[sm.Item], list[sm.Item], Mark]:
+        """Machines, open jobs and chunks, complete up to a revision: as followed, or read now."""
+        picture = await self._follower.take(Mark(self.token)) if self._follower is not None else None
+        if picture is None:
+            machines, _ = await self._store.list(fm.MACHINES)
+            jobs, revision = await self._store.list(jm.OPEN)
+            chunks, _ = await self._store.list(jm.CHUNKS)
+            if self._follower is not None:
+                read = Picture()
+                read.read([*machines, *jobs, *chunks], revision)
+                self._follower.lead(read, False)
+            return machines, jobs, chunks, revision
+        assert self._follower is not None
+        self._follower.lead(picture, True)
+        self._followed = True
+        return picture.items(fm.MACHINES), picture.items(jm.OPEN), picture.items(jm.CHUNKS), picture.revision
+
     async def _load(self) -> Mark:
-        machines, _ = await self._store.list(fm.MACHINES)
-        jobs, revision = await self._store.list(jm.OPEN)
-        chunks, _ = await self._store.list(jm.CHUNKS)
+        machines, jobs, chunks, revision = await self._picture()
         now = self.now
         for item in machines:
             record = fm.decode_record(item.value)
@@ -258,6 +296,67 @@
                 self._clear(job)
         return revision
 
+    async def _prove(self) -> None:
+        """Compare what was followed with the store, behind everything else. Each write is conditional, so a
+        difference broke no rule yet; but nobody knows what else is wrong, so all is read anew by a new term."""
+        assert self._follower is not None
+        picture = self._follower.picture
+        differ = await differences(
+            self._clock, self._store, picture, lambda: not self._stopped and picture is self._picture_now()
+        )
+        if differ:
+            log.error("the picture differs from the store in %d keys: %s", len(differ), ", ".join(differ[:5]))
+            self._follower.let_go("it differs from the store")
+            self._election.stand_down("its picture differed from the store")
+
+    def _picture_now(self) -> Picture | None:
+        return self._follower.picture if self._follower is not None else None
+
+    def _presume(self) -> None:
+        """Take the hints of the leader before: whom to wait for, what to expect. They prove nothing."""
+        hints, now = self._hints, self.now
+        if hints is None:
+            return
+        for name, session in hints.sessions.items():
+            machine = self.roster.machines.get(name)
+            if machine is not None:
+                machine.presumed_session = session
+                machine.presumed_at = Instant(now - hints.silent.get(name, 0.0))
+                if (left := hints.notices.get(name)) is not None:
+                    machine.taken_at = Instant(now + left)
+        self.fleet.presume(
+            hints.boots,
+            [(MachineKind(name, zone, spot), left) for name, zone, spot, left in hints.closed],
+            hints.pressed,
+        )
+        self.health.presume(hints.blamed, hints.pauses, self.book.jobs, now)
+        self._giving_way.presume(hints.asked, now)
+        if isinstance(self.runs, MeanRuns):
+            self.runs.ratios.update(hints.ratios)
+
+    def tell(self) -> Hints | None:
+        """All that only this leader knows, for whoever leads next."""
+        if not self.loaded or self._stopped:
+            return None
+        now = self.now
+        machines = [m for m in self.roster.machines.values() if m.up or m.presumed_at is not None]
+        boots, closed, pressed = self.fleet.known()
+        blamed, pauses = self.health.known(now)
+        hints = Hints(
+            NodeName(""), self.token, 0, "",
+            sessions={m.id: m.version.session or m.presumed_session for m in machines},
+            silent={m.id: round(self.view.silence(m), 1) for m in machines if self.view.silent(m)},
+            notices={m.id: round(m.taken_at - now, 1) for m in machines if m.taken_at is not None},
+            blamed=blamed, pauses=pauses, boots=boots,
+            closed=[(kind.type, kind.zone, kind.spot, left) for kind, left in closed],
+            pressed=pressed, asked=self._giving_way.known(now),
+            ratios=dict(self.runs.ratios) if isinstance(self.runs, MeanRuns) else {},
+        )  # fmt: skip
+        picture = self._picture_now()
+        if picture is not None and self.committer.idle() and self._wrote <= picture.revision:
+            hints.counts = (picture.revision, *picture.counts())
+        return hints
+
     async def _watch(self, revision: Mark) -> None:
         while not self._stopped:
             try:
@@ -275,6 +374,8 @@
             if self._stopped:
                 return
             revision = seen.revision
+            if self._follower is not None:
+                self._follower.seen(seen.events, revision)
             for event in seen.events:
                 if event.written is not None:
                     self._job_seen(event.written, event.value, event.mark)
@@ -436,6 +537,11 @@
 
     # Storing
 
+    def _written(self, mark: Mark, changes: Sequence[sm.Put | sm.Drop]) -> None:
+        self._wrote = mark
+        if self._follower is not None:
+            self._follower.written(mark, changes)
+
     def _ended(self, job: Job) -> None:
         self.health.forget_job(job)
         self._giving_way.forget(job.id)
@@ -510,6 +616,8 @@
             item = await self._store.get(key, Urgency.PLACEMENT)
             if self._stopped:
                 return
+            if self._follower is not None:
+                self._follower.found(key, item)
             if key == LEADER_KEY:
                 if item is None or item.mark != self._leader_condition.mark:
                     self._election.stand_down("the leader key is no longer ours")
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -58,13 +58,18 @@
 
     def silence(self, machine: Machine) -> Seconds:
         """For how long a machine has said nothing while we listened."""
-        return self._now - max(machine.heard_at or self._woke_at, self._woke_at)
+        return self._now - max(machine.heard_at or machine.presumed_at or self._woke_at, self._woke_at)
 
     def _heard_since(self) -> Instant:
         """Earlier than this is silence."""
         since = self._now - self._window
         return Instant(since if self._woke_at <= since else 0.0)
 
+    @property
+    def window(self) -> Seconds:
+        """Whoever is well and reports to us was heard within this time."""
+        return self._window
+
     def silent(self, machine: Machine) -> bool:
         return machine.heard_at is None or machine.heard_at < self._heard_since()
 
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -263,6 +263,17 @@
         self._asked.pop(job, None)
         self._under_way.discard(job)
 
+    def known(self, now: Instant) -> dict[JobId, tuple[Seconds, int]]:
+        """For the next leader: for which jobs others were asked lately, how long ago, and how many tasks waited."""
+        return {
+            job: (now - asked.at, asked.waiting) for job, asked in self._asked.items() if now - asked.at < GIVE_WAY_S
+        }
+
+    def presume(self, asked: Mapping[JobId, tuple[Seconds, int]], now: Instant) -> None:
+        """The same, from the leader before."""
+        for job, (age, waiting) in asked.items():
+            self._asked[job] = Asked(Instant(now - age), waiting, [])
+
     def _look_after(self, now: Instant, placed: Callable[[object], bool]) -> None:
         for job in list(self._under_way):
             asked = self._asked[job]
--- a/meadowcross/store/commit.py
+++ b/meadowcross/store/commit.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Hashable
+from collections.abc import Awaitable, Callable, Hashable, Sequence
 from dataclasses import dataclass
 from threading import Lock
 
@@ -47,7 +47,9 @@
         store: StoreClient,
         leader: Condition,
         reread: Callable[[list[str]], Awaitable[None]],
+        written: Callable[[Mark, Sequence[Put | Drop]], None] = lambda mark, changes: None,
     ) -> None:
+        self._written = written
         self._clock = clock
         self._store = store
         self._leader = leader
@@ -59,6 +61,7 @@
         self._wake: Deferred[None] | None = None
         self._stopped = False
         self._solo = False
+        self._busy = False
 
     def stop(self) -> None:
         self._stopped = True
@@ -84,6 +87,10 @@
         if wake is not None:
             wake.callback(None)
 
+    def idle(self) -> bool:
+        """Whether nothing is being written, so that all that was is known to be stored or not."""
+        return not self._busy
+
     def _due(self) -> bool:
         waited = self._later_since is not None and self._clock.seconds() - self._later_since >= LATER_AFTER_S - 1e-3
         return bool(self._urgent) or waited
@@ -95,9 +102,11 @@
                 self._wake = Deferred()
                 await self._wake
                 continue
+            self._busy = True
             try:
                 await self._round()
                 failures = 0
+                self._busy = False
             except (Unavailable, Unknown, Refused) as error:
                 failures += 1
                 log.debug("commit waits: %s", error)
@@ -144,6 +153,7 @@
             mark = await self._store.transact(conditions, changes, Urgency.PLACEMENT if urgent else Urgency.LATER)
             settled = True
             self._solo = False
+            self._written(mark, changes)
         except Conflicted as conflict:
             await self._reread(conflict.failed)
         except Unknown:
--- a/meadowcross/workers/commands.py
+++ b/meadowcross/workers/commands.py
@@ -135,7 +135,7 @@
             self._busy.discard(machine_id)
 
     async def _send(self, machine: Machine, starts: list[Placement], stops: list[Placement]) -> None:
-        session = max(1, machine.version.session)
+        session = machine.version.session or machine.presumed_session or 1
         ready = []
         for placement in starts:
             if machine.addr is not None and machine.condemned is None and self._may_start(placement):
--- a/meadowcross/workers/health.py
+++ b/meadowcross/workers/health.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from meadowcross.common.types import Instant, JobId, MachineId, Seconds
 from meadowcross.jobs.book import Job, Phase, Placement
@@ -35,6 +35,33 @@
         self._paused: dict[JobId, tuple[Job, Seconds]] = {}
         """Jobs to blame, and the longest that a task of theirs took to fail."""
 
+    def known(self, now: Instant) -> tuple[dict[MachineId, dict[JobId, Seconds]], dict[JobId, tuple[int, Seconds]]]:
+        """For the next leader: which machines failed tasks of which jobs, how soon; which jobs are paused, and for
+        how much longer."""
+        suspects = {name: {job.id: took for job, took in jobs.items()} for name, jobs in self._suspects.items()}
+        return suspects, {name: (job.pauses, job.paused_until - now) for name, (job, _) in self._paused.items()}
+
+    def presume(
+        self,
+        suspects: dict[MachineId, dict[JobId, Seconds]],
+        paused: dict[JobId, tuple[int, Seconds]],
+        jobs: Mapping[JobId, Job],
+        now: Instant,
+    ) -> None:
+        """The same, from the leader before."""
+        for machine, failed in suspects.items():
+            for name, took in failed.items():
+                job = jobs.get(name)
+                if job is not None and self._machine_is_there(machine):
+                    job.failed_on.add(machine)
+                    self._suspects.setdefault(machine, {})[job] = took
+        for name, (pauses, left) in paused.items():
+            job = jobs.get(name)
+            if job is not None:
+                job.pauses = min(pauses, MOST_PAUSES)
+                job.paused_until = Instant(now + max(0.0, min(left, LONGEST_PAUSE_S)))
+                self._paused[name] = (job, 0.0)
+
     def suspect(self, machine: MachineId) -> bool:
         return machine in self._suspects
 
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -75,6 +75,10 @@
         """When it last reported to us by itself, which is what renews its lease."""
         self.silent_until: Instant | None = None
         """When it was last heard again after a silence: what ran meanwhile can't be timed."""
+        self.presumed_at: Instant | None = None
+        """When the leader before heard it last, by its hints; whom it is waited for rests on it, nothing else."""
+        self.presumed_session = 0
+        """The session to address first, by the same; a wrong one is answered with the right one."""
         self.taken_at: Instant | None = None
         self.placements: dict[TaskId, Placement] = {}
         self.open_starts: dict[Start, int] = {}
--- a/meadowcross/workers/visitors.py
+++ b/meadowcross/workers/visitors.py
@@ -19,6 +19,10 @@
         self._came.pop(machine, None)
         self._came[machine] = Instant(self._clock.seconds())
 
+    def since(self, at: Instant) -> int:
+        """How many came since then, of those within the window."""
+        return sum(1 for came in self._came.values() if came >= at)
+
     def count(self) -> int:
         oldest = self._clock.seconds() - self._window
         while self._came:
