--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -71,6 +71,7 @@
 FaultKind = Literal[
     "node_kill", "node_freeze", "node_slow", "node_cut", "peers_refuse", "store_outage", "store_slow", "store_refuses",
     "store_late", "kill_after_write", "zone_cut", "machine_die", "machine_hang", "machine_cut", "capacity",
+    "store_loss",
 ]  # fmt: skip
 
 
@@ -92,6 +93,8 @@
     zone: str | None = None
     factor: Annotated[float, Meta(ge=0, le=1000)] | None = None
     prefix: str | None = None
+    what: Literal["all", "back", "prefix", "keys", "older"] | None = None
+    """What is lost: everything; the last `for_s`; all below `prefix`; `count` keys; their last versions."""
 
 
 NEEDS: dict[str, tuple[str, ...]] = {
@@ -110,6 +113,7 @@
     "machine_hang": ("count", "for_s"),
     "machine_cut": ("count", "for_s"),
     "capacity": ("factor", "for_s"),
+    "store_loss": ("what",),
 }
 
 
@@ -185,6 +189,9 @@
         for name in NEEDS[fault.kind]:
             if getattr(fault, name) is None:
                 raise ScenarioError(f"{where}: $.faults[{number}].{name}: expected with kind {fault.kind}")
+        lacks = {"back": "for_s", "prefix": "prefix", "keys": "count", "older": "count"}.get(fault.what or "")
+        if lacks is not None and getattr(fault, lacks) is None:
+            raise ScenarioError(f"{where}: $.faults[{number}].{lacks}: expected with {fault.what}")
         if fault.at_s > scenario.duration_s:
             raise ScenarioError(f"{where}: $.faults[{number}].at_s: expected at most {scenario.duration_s:g}")
     return scenario
--- a/lab/services.py
+++ b/lab/services.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -50,8 +51,39 @@
         self.on_written: Callable[[str, dict[str, Any]], bool] = lambda caller, request: True
         """Told of each transaction that wrote; False: its answer is lost."""
         self.requests = self.written = self.refusals = 0
+        self._kept: deque[tuple[float, int, dict[str, Any], dict[int, tuple[float, float]]]] = deque(maxlen=600)
+        """What the store held each second: its disk, so to speak."""
         serve(reactor, 2379, self._serve)
         self._tick()
+        self._keep()
+
+    def _keep(self) -> None:
+        service = self.service
+        self._kept.append((self._reactor.seconds(), service.revision, dict(service.keys), dict(service.holds)))
+        self._reactor.callLater(0.5, self._keep)
+
+    def lose(self, what: str, for_s: float, prefix: str, count: int) -> None:
+        """Data is gone, and nobody is told: no change, no revision says so."""
+        service, now = self.service, self._reactor.seconds()
+        random = self._reactor.simulation.random
+        if what == "all":
+            service.keys, service.holds, service.revision, service.log, service.forgotten = {}, {}, 0, [], 0
+        elif what == "back":
+            _, revision, keys, holds = next(kept for kept in reversed(self._kept) if kept[0] <= now - for_s)
+            service.keys, service.revision = dict(keys), revision
+            service.holds = {hold: (now + ttl, ttl) for hold, (_, ttl) in holds.items()}
+            service.log = [event for event in service.log if event["mark"] <= revision]
+        elif what == "prefix":
+            service.keys = {key: item for key, item in service.keys.items() if not key.startswith(prefix)}
+        else:
+            names = sorted(key for key in service.keys if key[:2] in ("j/", "t/", "w/", "e/"))
+            for key in random.sample(names, min(count, len(names))):
+                before = next((kept[2][key] for kept in self._kept if key in kept[2]), None)
+                if before is None or what == "keys":
+                    del service.keys[key]
+                else:
+                    service.keys[key] = before
+        self._look()
 
     def _tick(self) -> None:
         """Holds end without a request, and watches run out."""
--- a/lab/world.py
+++ b/lab/world.py
@@ -277,6 +277,8 @@
             case "machine_cut":
                 some = self._some(fault)
                 simulation.add_cut(Cut(some, set(simulation.hosts) - set(some), fault.mode), fault.for_s)
+            case "store_loss":
+                store.lose(fault.what or "all", for_s, fault.prefix or "", fault.count or 0)
             case "capacity":
                 self.cloud.share = fault.factor or 0.0
                 later(for_s, lambda: setattr(self.cloud, "share", 1.0))
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -83,10 +83,10 @@
 
     def __init__(self, reactor: Any, settings: Settings, operator: Operator) -> None:
         from meadowcross.common.http import Answer, HttpClient, Router
-        from meadowcross.common.types import Address, JobId, NodeName, Token
+        from meadowcross.common.types import Address, JobId, Mark, NodeName, Token, token_of
         from meadowcross.fleet.catalog import Catalog
         from meadowcross.fleet.cloud import Cloud
-        from meadowcross.jobs.api import JobApi
+        from meadowcross.jobs.api import Forward, JobApi, Trust
         from meadowcross.jobs.messages import Progress
         from meadowcross.leadership.election import Election, Successor
         from meadowcross.leadership.messages import Beat, LeaderRecord
@@ -94,11 +94,15 @@
         from meadowcross.leadership.reach import heard_window
         from meadowcross.leadership.standby import Standby
         from meadowcross.leadership.term import Term
+        from meadowcross.rebuild.era import Eras
+        from meadowcross.rebuild.gather import Rebuild, part_of
+        from meadowcross.rebuild.messages import LEADER_KEY, PicturePart, PictureWanted, Stage
         from meadowcross.replica.follower import Follower
         from meadowcross.replica.hints import Hearer, Teller
         from meadowcross.replica.messages import Handed, Hints, HintsWanted
         from meadowcross.replica.picture import Counts
         from meadowcross.store.client import SHARE_OF_LEADER, SHARE_OF_OTHERS, StoreClient
+        from meadowcross.store.messages import Condition
         from meadowcross.workers.api import WorkerApi
         from meadowcross.workers.visitors import Visitors
 
@@ -116,6 +120,11 @@
         same = digest(settings, operator)
         self.follower = Follower(reactor, self.store, most_bytes(settings)) if operator.warm_standby >= 1 else None
         follower = self.follower
+        self.eras = Eras(
+            reactor, self.store, lambda why: on_loss(why), lambda: follower.thaw() if follower is not None else None,
+            cloud.oldest,
+        )  # fmt: skip
+        eras = self.eras
         self._teller: Teller | None = None
 
         def begin_term(token: Token) -> Term:
@@ -133,6 +142,7 @@
                 self.link.most_heard,
                 follower,
                 hearer.take(token) if follower is not None else None,
+                self.rebuild,
             )
             self.term = term
             self._teller = Teller(node, token, same) if follower is not None else None
@@ -175,17 +185,62 @@
 
         def beat() -> Beat:
             warm = follower is not None and follower.warm
+            era = eras.record.number if eras.record is not None else None
+            followed = follower.followed() if follower is not None else Mark(0)
             return Beat(
-                node, self.store.answering(), self.election.token, visitors.count(), life, warm, self.link.all_lost()
-            )
+                node, self.store.answering(), self.election.token, visitors.count(), life, warm, self.link.all_lost(),
+                era, eras.is_lost(), eras.highest, followed,
+            )  # fmt: skip
 
         def on_beat(beat: Beat) -> None:
             if self.standby is not None:
                 self.standby.heard(beat)
+            eras.token_seen(max(beat.highest, beat.leads or Token(0)))
+            if beat.era_lost and beat.era is not None:
+                eras.told_lost(beat.era, beat.node)
             own = self.election.token
             if own is not None and beat.leads is not None and beat.leads > own:
                 self.election.stand_down(f"{beat.node} leads with token {beat.leads}")
 
+        def on_loss(why: str) -> None:
+            """Hold still: what was followed is kept, nobody leads until somebody begins a new era."""
+            if follower is not None and eras.record is not None:
+                follower.lose(eras.record.number)
+            self.election.stand_down(f"the state service has lost data: {why}")
+            self.election.nudge()
+            self.link.beat_now()
+
+        async def new_era(mark: Mark) -> Token | None:
+            """Elected where no token can be had in the era as it is."""
+            await eras.look()
+            token = eras.token(mark)
+            if token is not None:
+                return token
+            if not eras.is_lost():
+                # Somebody has seen a token from beyond this one. If the key is still ours, it is from before a loss.
+                if await self.store.compare([Condition(LEADER_KEY, mark)]):
+                    return None
+                eras.lost(f"token {eras.highest} was seen, the store is at revision {self.store.highest}")
+            beats = self.link.fresh_beats()
+            return await eras.renew(LEADER_KEY, mark, max((one.era or 0 for one in beats), default=0))
+
+        def picture_part(wanted: PictureWanted) -> PicturePart:
+            if eras.record is not None and follower is not None and follower.former is None:
+                # Who asks has proof of a loss.
+                eras.told_lost(eras.record.number, "a peer")
+            return part_of(follower, wanted, node) if follower is not None else PicturePart(wanted.number, node)
+
+        def to_leader() -> Forward | None:
+            """While ended jobs come back only the leader knows them all."""
+            if eras.phase is not Stage.ENDED or current_term() is not None:
+                return None
+            leader = known_leader()
+
+            async def ask(operation: str, job: str, body: bytes) -> Answer | None:
+                return await self.link.forward(operation, job, body, leader[0]) if leader is not None else None
+
+            return ask
+
         visitors = Visitors(reactor, heard_window(facts.workers.report_s))
 
         def turn() -> float:
@@ -201,8 +256,9 @@
             return None
 
         self.election = Election(
-            reactor, self.store, node, life, operator.hold_s, begin_term, end_term, turn, successor
-        )
+            reactor, self.store, node, life, operator.hold_s, begin_term, end_term, turn, successor, eras.token,
+            new_era, lambda mark: token_of(eras.record.number if eras.record is not None else 0, mark),
+        )  # fmt: skip
 
         async def serve(operation: str, job: str, body: bytes) -> Answer:
             return await api.serve(operation, job, body)
@@ -226,8 +282,12 @@
 
         hearer = Hearer(reactor, same, lambda leader: self.link.tell(HintsWanted(node), leader))
         self.link = PeerLink(
-            reactor, settings.peers, beat, own_progress, on_beat, serve, on_replica, on_lost, be_handed
+            reactor, settings.peers, beat, own_progress, on_beat, serve, on_replica, on_lost, be_handed, picture_part
         )
+        self.rebuild = Rebuild(
+            reactor, self.store, eras, follower, node, lambda: [one.node for one in self.link.fresh_beats()],
+            self.link.ask_picture, lambda: [], operator.lost_wait_s or None,
+        )  # fmt: skip
         self.standby = (
             Standby(
                 reactor, self.store, self.election, follower, self.link.lost, self.link.fresh_beats, beat,
@@ -248,9 +308,13 @@
             self.link.forward,
             follower.get if follower is not None else lambda key: None,
             lambda: follower.state.value if follower is not None else "off",
-        )
+            Trust(
+                lambda: eras.record is not None, eras.closed, eras.unknown_may_be_somebodys, to_leader,
+                follower.accepted if follower is not None else lambda key, value, mark: None,
+            ),
+        )  # fmt: skip
         api.routes(self.router)
-        WorkerApi(take_report, leader_name, visitors).routes(self.router)
+        WorkerApi(take_report, leader_name, visitors, eras.token_seen).routes(self.router)
 
     def _prepare(self) -> None:
         """What only a leader needs, loaded while there is nothing to hurry for."""
@@ -283,6 +347,7 @@
         if self._operator.learned_estimates >= 1:
             self._reactor.callLater(PREPARE_S, self._prepare)
         Deferred.fromCoroutine(self.catalog.run())
+        Deferred.fromCoroutine(self.eras.run())
         if self.follower is not None:
             Deferred.fromCoroutine(self.follower.run())
             telling = LoopingCall(self._tell)
--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -154,6 +154,7 @@
     spare_percent: float = 15.0
     learned_estimates: float = 0.0
     warm_standby: float = 2.0
+    lost_wait_s: float = 120.0
 
 
 BOUNDS = {
@@ -176,6 +177,7 @@
     "spare_percent": Bound("percent", 0, 1000),
     "learned_estimates": Bound("0: off, 1: learned and told, 2: used as well; a whole number", 0, 2, whole=True),
     "warm_standby": Bound("0: off, 1: follows, 2: ends a dead leader's hold as well; a whole number", 0, 2, whole=True),
+    "lost_wait_s": Bound("seconds; 0: for ever", 0, 86400),
 }
 
 
--- a/meadowcross/common/types.py
+++ b/meadowcross/common/types.py
@@ -11,7 +11,7 @@
 Address = NewType("Address", str)
 """host:port, as the settings and the machine list write it."""
 Token = NewType("Token", int)
-"""Who may give commands: the revision at which the leader key was created."""
+"""Who may give commands: the era, and the revision at which the leader key was created in it."""
 Attempt = NewType("Attempt", int)
 Mark = NewType("Mark", int)
 """Revision of a stored key's last change; 0 where the key does not exist."""
@@ -23,6 +23,24 @@
 """Seconds of the time of day, right to within the settings' bound."""
 
 
+REVISION_BITS = 40
+"""Of a token: a million million changes in one era; the rest, below 2^64, counts eras. In the first era, number 0, a
+token is the revision alone, as it was before there were eras."""
+
+
+def token_of(era: int, mark: Mark) -> Token:
+    return Token((era << REVISION_BITS) + mark)
+
+
+def era_of(token: Token) -> int:
+    return token >> REVISION_BITS
+
+
+def mark_of(token: Token) -> Mark:
+    """The version of the leader's key."""
+    return Mark(token & ((1 << REVISION_BITS) - 1))
+
+
 class TaskId(NamedTuple):
     """One task of a job; written `job/number` on the wire."""
 
--- a/meadowcross/fleet/cloud.py
+++ b/meadowcross/fleet/cloud.py
@@ -80,6 +80,14 @@
         if reply.status != 200:
             raise CloudTrouble(f"deletion: {reply.status}")
 
+    async def oldest(self) -> Seconds | None:
+        """The age of the oldest machine that is listed, 0 where none is; None without an answer."""
+        try:
+            return max((machine.age_s for machine in await self.list()), default=0.0)
+        except CloudTrouble as error:
+            log.info("machine list: %s", error)
+            return None
+
     async def list(self) -> list[m.ListedMachine]:
         machines: list[m.ListedMachine] = []
         after = ""
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -80,6 +80,7 @@
     def store_machine(self, machine: Machine) -> None: ...
     def machine_gone(self, name: MachineId) -> None: ...
     def stop_task(self, placement: Placement, grace: Seconds) -> None: ...
+    def listed(self, described: Instant | None) -> None: ...
 
 
 class FleetManager:
@@ -203,8 +204,13 @@
     def _take_list(self, machines: list[m.ListedMachine]) -> None:
         now = self.now
         names = set()
+        described: Instant | None = None
         for listed in machines:
             names.add(listed.id)
+            known = self._leader.roster.machines.get(listed.id)
+            if known is not None and known.rented_known:
+                # Its age then, and when it was rented, tell what time the list describes.
+                described = Instant(max(described or 0.0, known.rented_at + listed.age_s))
             if listed.id in self._deleted:
                 continue
             new = listed.id not in self._leader.roster.machines
@@ -220,6 +226,7 @@
                 self._leader.store_machine(machine)
             if listed.state == "failed":
                 self.condemn(machine, "the cloud lists it as failed")
+        self._leader.listed(described)
         self._listed.update(names)
         for machine in self._leader.roster.machines.values():
             if machine.id in names or machine.id not in self._listed:
@@ -313,7 +320,7 @@
             for machine in roster:
                 machine.draining = False
         for machine in roster:
-            if machine.condemned is not None or machine.placements or not machine.up:
+            if machine.condemned is not None or machine.placements or machine.unclaimed or not machine.up:
                 continue
             idle = now - machine.idle_since
             keep = 0.0 if machine.kind in self._dear and machine.draining else self._keep_s(machine)
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -27,6 +28,7 @@
 
 Asked = Callable[[JobId], Awaitable[m.Progress | None]]
 """The leader's word on an open job; None where it is not known in time."""
+Accepted = Callable[[str, msgspec.Raw, Mark], None]
 Forward = Callable[[str, str, bytes], Awaitable[Answer | None]]
 """A peer's answer to an operation, given the job's id where it is not in the body."""
 
@@ -73,6 +75,21 @@
     return None
 
 
+@dataclass(frozen=True, slots=True)
+class Trust:
+    """Whether the state service still holds what was stored in it, as far as requests need to know."""
+
+    known: Callable[[], bool] = lambda: True
+    """False only until it was read for the first time."""
+    closed: Callable[[], str | None] = lambda: None
+    """Why no request can be served now."""
+    unknown_may_be_somebodys: Callable[[], bool] = lambda: False
+    to_leader: Callable[[], Forward | None] = lambda: None
+    """How the leader is asked, while only it knows what was gathered of ended jobs."""
+    accepted: Accepted = lambda key, value, mark: None
+    """Told of what was stored for users, ahead of the feed."""
+
+
 class JobApi:
     def __init__(
         self,
@@ -86,7 +103,9 @@
         forward: Forward,
         followed: Followed = lambda key: None,
         standing: Callable[[], str] = lambda: "off",
+        trust: Trust | None = None,
     ) -> None:
+        self._trust = trust or Trust()
         self._clock = clock
         self._store = store
         self._teams = {team.name: team for team in teams}
@@ -113,8 +132,12 @@
             # By operation, so that a storm of questions keeps nobody from submitting.
             if self._open[operation] >= MAX_OPEN_REQUESTS:
                 return reason(503, "too many requests are open", RETRY_AFTER_S)
+            if (why := self._trust.closed()) is not None:
+                return reason(503, why, RETRY_AFTER_S)
             self._open[operation] += 1
             try:
+                if (ask := self._trust.to_leader()) is not None:
+                    return await self._elsewhere(operation, job, body, ask)
                 answer = None if self._alone() else await self.serve(operation, job, body)
                 if answer is None or (answer.status == 503 and self._alone()):
                     return await self._elsewhere(operation, job, body)
@@ -143,19 +166,28 @@
             return reason(503, "the state service gives no answer", RETRY_AFTER_S)
         return reason(404, "no such operation")
 
-    async def _elsewhere(self, operation: str, job: str, body: bytes) -> Answer:
+    async def _elsewhere(self, operation: str, job: str, body: bytes, ask: Forward | None = None) -> Answer:
         """Only this node is without the store: a peer answers, until the load balancer has
         noticed. Whatever was begun here may be repeated there, as by a user's retry."""
         try:
             body.decode()
         except UnicodeDecodeError as error:
             return reason(400, str(error))
-        answer = await self._forward(operation, job, body)
-        return answer or reason(503, "the state service does not answer this node", RETRY_AFTER_S)
+        answer = await (ask or self._forward)(operation, job, body)
+        return answer or reason(503, "nobody who can answer does", RETRY_AFTER_S)
+
+    def _unknown(self) -> Answer:
+        """A job that the store does not know. After a loss, or before it is known that there was none, it may
+        have been accepted all the same: then nobody is told that it was not."""
+        if self._trust.unknown_may_be_somebodys():
+            return reason(503, "the job is not known, and not all that was lost is", RETRY_AFTER_S)
+        return reason(404, "no such job")
 
     def ready(self, body: bytes) -> Answer:
         if not self._types():
             return reason(503, "machine types are not known yet", RETRY_AFTER_S)
+        if not self._trust.known():
+            return reason(503, "the state service was not read yet", RETRY_AFTER_S)
         failing = self._store.failing_since
         if failing is not None and self._clock.seconds() - failing > 1.0 and self._alone():
             # Only this node is without the store: users do better elsewhere. In an outage
@@ -176,6 +208,8 @@
         if why is not None:
             # A repeated submission of an accepted job is never refused.
             return await self._known(job) or reason(422, why)
+        if (ended := self._lookup.final(job)) is not None:
+            return answer_of(job, ended.standing, ended.tasks if ended.standing is m.Standing.DONE else 0, 0)
         record = m.JobRecord(spec, WallTime(self._clock.seconds()), self._chunk)
         value = sm.raw(record)
         if len(bytes(value)) > self._store.max_value:
@@ -195,6 +229,7 @@
                 raise
             return known
         self._lookup.opened(job, mark, spec.tasks)
+        self._trust.accepted(m.open_key(job), value, mark)
         log.info(
             "job %s accepted: %s of %s, %s, %d tasks of %g CPUs and %g GB, about %.0f s, due after %.0f s",
             job,
@@ -224,7 +259,7 @@
     async def query(self, job_text: str) -> Answer:
         if not is_job_id(job_text):
             return reason(404, "no such job")
-        return await self._known(JobId(job_text)) or reason(404, "no such job")
+        return await self._known(JobId(job_text)) or self._unknown()
 
     async def cancel(self, job_text: str) -> Answer:
         job = JobId(job_text)
@@ -233,7 +268,7 @@
         for _ in range(TRIES):
             found = await self._lookup.find(job)
             if found is None:
-                return reason(404, "no such job")
+                return self._unknown()
             if isinstance(found, m.EndedRecord):
                 return answer_of(job, found.standing, 0, 0)
             item = await self._store.get(m.open_key(job))
@@ -243,10 +278,11 @@
             if record.cancelled is not None:
                 return answer_of(job, m.Standing.CANCELLED, 0, 0)
             record.cancelled = WallTime(self._clock.seconds())
+            value = sm.raw(record)
             try:
-                await self._store.transact(
+                mark = await self._store.transact(
                     [sm.Condition(m.open_key(job), item.mark)],
-                    [sm.Put(m.open_key(job), sm.raw(record))],
+                    [sm.Put(m.open_key(job), value)],
                     Urgency.USER,
                     1.5,
                 )
@@ -254,6 +290,7 @@
                 # Lost a race, or no answer: only a fresh read tells what the job is now.
                 continue
             log.info("job %s cancelled", job)
+            self._trust.accepted(m.open_key(job), value, mark)
             self._lookup.ended(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
             return answer_of(job, m.Standing.CANCELLED, 0, 0)
         return reason(503, "the job is changing", RETRY_AFTER_S)
--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -177,18 +177,29 @@
 
     async def _read_one(self, job: JobId, found: dict[JobId, Found]) -> None:
         """Jobs move from the open to the ended key in one transaction, so a job found under
-        neither, in this order, was never accepted."""
-        item = await self._store.get(m.open_key(job))
-        if item is not None:
-            found[job] = self.seen(job, item)
-            return
-        item = await self._store.get(m.ended_key(job))
-        if item is not None:
-            found[job] = self.ended(job, m.decode_ended(item.value))
-            return
-        with self._lock:
-            _remember(self._open, job, ABSENT)
-        found[job] = None
+        neither, in this order, was never accepted. What was read is compared once more, under the era's condition and
+        with the store's count: a store that came back empty, or as it was before, knows no better."""
+        for _ in range(2):
+            item = await self._store.get(m.open_key(job))
+            if item is not None:
+                if await self._still([sm.Condition(m.open_key(job), item.mark)]):
+                    found[job] = self.seen(job, item)
+                    return
+                continue
+            item = await self._store.get(m.ended_key(job))
+            if item is not None:
+                found[job] = self.ended(job, m.decode_ended(item.value))
+                return
+            if await self._still([sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))]):
+                with self._lock:
+                    _remember(self._open, job, ABSENT)
+                found[job] = None
+                return
+        raise Unavailable(f"job {job} is just changing")
+
+    async def _still(self, conditions: list[sm.Condition]) -> bool:
+        """Whether what was read holds in our era; without eras there is nothing to ask."""
+        return self._store.guard is None or not await self._store.compare(conditions)
 
 
 async def _all(work: Iterable[Coroutine[Any, Any, None]]) -> None:
--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -8,19 +8,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from math import inf
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from twisted.internet.defer import Deferred
 
 from meadowcross.common.clock import Clock, pause
 from meadowcross.common.logging import logger
-from meadowcross.common.types import HoldId, Mark, NodeName, Seconds, Token
+from meadowcross.common.types import HoldId, Mark, NodeName, Seconds, Token, mark_of
 from meadowcross.leadership.messages import LEADER_KEY, LeaderRecord, decode_leader
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown, WatchTooOld
+from meadowcross.store.messages import Events
 
 log = logger("leadership")
 
@@ -55,7 +56,18 @@
         end_term: Callable[[], None],
         turn: Callable[[], Seconds] = lambda: 0.0,
         successor: Callable[[], Awaitable[Successor | None]] | None = None,
+        entitle: Callable[[Mark], Token | None] = lambda mark: Token(mark),
+        new_era: Callable[[Mark], Awaitable[Token | None]] | None = None,
+        compose: Callable[[Mark], Token] = lambda mark: Token(mark),
     ) -> None:
+        """`entitle` gives the token for a leader's key of ours, or None where `new_era` must begin one first;
+        `compose` that of another's, as far as its era is known."""
+        self._entitle = entitle
+        self._new_era = new_era
+        self._compose = compose
+        self._leading = False
+        self._end_wait: Callable[[], None] = lambda: None
+        self._nudged: Deferred[Events | None] | None = None
         self._turn = turn
         self._successor = successor
         self._waited = False
@@ -120,14 +132,13 @@
             return
         self._waited = False
         record = decode_leader(item.value)
-        token = Token(item.mark)
-        self._seen = (record.node, token)
+        self._seen = (record.node, self._compose(item.mark))
         if record.life == self._record.life:
             # Ours: also where a lost answer hid that the key was created, at once or late.
             if self._hold is not None and item.hold == self._hold:
                 # Handed over, the hold may be older than what we last asked for.
                 self._sure_until = max(self._sure_until, self._prepared_at + self._hold_s)
-                await self._lead(token)
+                await self._lead(item.mark)
                 return
             if item.hold is not None:
                 await self._store.end_hold(item.hold)
@@ -141,13 +152,13 @@
 
     async def _prepare(self) -> HoldId | None:
         """A hold with most of its time left, and not the one of a term; None without an answer."""
-        if self.token is not None:
+        if self._leading:
             return None
         asked = self._clock.seconds()
         try:
             if asked - self._prepared_at > self._hold_s / 2 or self._hold is None:
                 hold = await self._store.open_hold(self._hold_s)
-                if self.token is not None or self._standing:
+                if self._leading or self._standing:
                     return None
                 self._hold, self._prepared_at = hold, asked
         except (Unavailable, Unknown, Refused) as error:
@@ -168,7 +179,8 @@
             self._hold = await self._store.open_hold(self._hold_s)
         self._sure_until = asked + self._hold_s
         try:
-            await self._store.transact(
+            # In no era: on a store that has lost data somebody must lead, too.
+            await self._store.transact_bare(
                 [sm.Condition(LEADER_KEY, Mark(0))],
                 [sm.Put(LEADER_KEY, sm.raw(self._record), self._hold)],
                 Urgency.LEADERSHIP,
@@ -184,33 +196,57 @@
         revision = since
         while True:
             try:
-                seen = await self._store.watch(LEADER_KEY, revision, WATCH_S)
+                seen = await self._or_nudged(self._store.watch(LEADER_KEY, revision, WATCH_S))
             except WatchTooOld:
                 return
+            if seen is None:
+                return
             if any(event.key == LEADER_KEY for event in seen.events):
                 return
             revision = seen.revision
 
-    async def _lead(self, token: Token) -> None:
+    def nudge(self) -> None:
+        """Look at the leader's key anew: a store that has lost data may tell of no change for long."""
+        nudged, self._nudged = self._nudged, None
+        if nudged is not None:
+            nudged.callback(None)
+
+    def _or_nudged(self, watch: Coroutine[Any, Any, Events]) -> Deferred[Events | None]:
+        first: Deferred[Events | None] = Deferred()
+        self._nudged = first
+
+        def settle(result: Any) -> None:
+            if not first.called:
+                self._nudged = None
+                first.callback(result)
+
+        Deferred.fromCoroutine(watch).addBoth(settle)
+        return first
+
+    async def _lead(self, mark: Mark) -> None:
         assert self._hold is not None
-        log.info("leads with token %d", token)
-        self.token = token
-        self._stood_down = False
-        term = self._term = self._begin_term(token)
+        self._leading, self._stood_down = True, False
+        token = self._entitle(mark)
+        if token is not None:
+            self._take_office(mark, token)
+        else:
+            Deferred.fromCoroutine(self._begin_era(mark))
         try:
             while not self._stood_down:
-                await pause(self._clock, self._hold_s / 4)
+                await self._until_stood_down(self._hold_s / 4)
                 if not self._stood_down:
                     # Not awaited: a busy leader that read answers late once sent its next
                     # renewal too late, and lost a hold that every renewal had reached.
-                    Deferred.fromCoroutine(self._renew(self._hold, token))
+                    Deferred.fromCoroutine(self._renew(self._hold))
         finally:
             hold, self._hold = self._hold, None
-            self.token = None
-            self._term = None
-            term.stop()
-            self._end_term()
-            log.info("no longer leads with token %d", token)
+            token, self.token = self.token, None
+            term, self._term = self._term, None
+            self._leading = False
+            if term is not None:
+                term.stop()
+                self._end_term()
+            log.info("no longer leads with token %d", token or mark)
         # Not in the clause above: what is awaited there when this coroutine is closed, as at a
         # process's end, is refused by the interpreter. After an error the next round ends it.
         try:
@@ -218,7 +254,35 @@
         except (Unavailable, Unknown, Refused):
             log.debug("hold %d left to end by itself", hold)
 
-    async def _renew(self, hold: HoldId, token: Token) -> None:
+    def _until_stood_down(self, at_most: Seconds) -> Deferred[None]:
+        over: Deferred[None] = Deferred()
+
+        def end() -> None:
+            if not over.called:
+                over.callback(None)
+
+        self._end_wait = end
+        self._clock.callLater(at_most, end)
+        return over
+
+    def _take_office(self, mark: Mark, token: Token) -> None:
+        log.info("leads with token %d", token)
+        self.token = token
+        self._seen = (self._record.node, token)
+        self._term = self._begin_term(token)
+
+    async def _begin_era(self, mark: Mark) -> None:
+        """Elected on a store that has lost data: under our key a new era begins, or we make room."""
+        try:
+            token = await self._new_era(mark) if self._new_era is not None else None
+            if token is None:
+                self.stand_down("no new era could begin")
+            elif self._leading and not self._stood_down:
+                self._take_office(mark, token)
+        except (Conflicted, Unavailable, Unknown, Refused) as error:
+            self.stand_down(f"no new era could begin: {error}")
+
+    async def _renew(self, hold: HoldId) -> None:
         asked = self._clock.seconds()
         try:
             alive = await self._store.renew_hold(hold, self._hold_s)
@@ -232,7 +296,7 @@
         if alive:
             self._sure_until = max(self._sure_until, asked + self._hold_s)
         else:
-            self.stand_down(f"hold {hold} ended, token {token} is over")
+            self.stand_down(f"hold {hold} ended")
 
     def hand_over(self, why: str) -> None:
         """Another node is better placed: end our hold, and let the others go first. Not twice in a row: where
@@ -252,8 +316,8 @@
         successor = await self._successor() if self._successor is not None else None
         if successor is not None and self.token == token:
             try:
-                await self._store.transact(
-                    [sm.Condition(LEADER_KEY, Mark(token))],
+                await self._store.transact_bare(
+                    [sm.Condition(LEADER_KEY, mark_of(token))],
                     [sm.Put(LEADER_KEY, sm.raw(successor.record), successor.hold)],
                     Urgency.LEADERSHIP,
                 )
@@ -266,8 +330,11 @@
 
     def stand_down(self, why: str) -> None:
         """A higher token was seen, or a commit showed that the key is no longer ours."""
-        if self._term is not None and not self._stood_down:
+        if self._leading and not self._stood_down:
             log.info("stands down: %s", why)
             self._stood_down = True
-            self._term.stop()
+            if self._term is not None:
+                self._term.stop()
             self.token = None
+            # The hold is ended at once: until then nobody can follow.
+            self._clock.callLater(0, self._end_wait)
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -5,11 +5,10 @@
 import msgspec
 from msgspec import Struct
 
-from meadowcross.common.types import JobId, NodeName, Seconds, Token
+from meadowcross.common.types import JobId, Mark, NodeName, Seconds, Token
+from meadowcross.rebuild.messages import LEADER_KEY, PicturePart, PictureWanted
 from meadowcross.replica.messages import Handed, Handover, Hints, HintsWanted
 
-LEADER_KEY = "lead"
-
 
 class LeaderRecord(Struct):
     """Who leads. `life` tells this process from its predecessors of the same name."""
@@ -32,6 +31,13 @@
     """Whether it follows the store and could lead at once."""
     lost: list[NodeName] = []
     """Peers whose link to it was closed, and that refuse to be called."""
+    era: int | None = None
+    """The era it is in, and whether it has proof that the state service lost data in it."""
+    era_lost: bool = False
+    highest: Token = Token(0)
+    """The highest token it has seen anywhere."""
+    followed: Mark = Mark(0)
+    """Up to which revision it followed the store, a leader's own picture counted as one more."""
 
 
 class ProgressQuestion(Struct, tag="progress?", tag_field="kind"):
@@ -68,7 +74,15 @@
     retry_after: int | None = None
 
 
-Message = Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded | Hints | HintsWanted | Handover | Handed
+Message = (
+    Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded
+    | Hints | HintsWanted | Handover | Handed | PictureWanted | PicturePart
+)  # fmt: skip
+
+__all__ = [
+    "LEADER_KEY", "Beat", "Forward", "Forwarded", "LeaderRecord", "Message", "ProgressAnswer", "ProgressQuestion",
+    "decode", "decode_leader", "encode",
+]  # fmt: skip
 
 encode = msgspec.json.Encoder().encode
 decode = msgspec.json.Decoder(Message).decode
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -24,6 +24,7 @@
 from meadowcross.common.types import JobId, NodeName, Seconds, Token
 from meadowcross.jobs.messages import Progress
 from meadowcross.leadership import messages as m
+from meadowcross.rebuild.messages import PicturePart, PictureWanted
 from meadowcross.replica.messages import Handed, Handover, Hints, HintsWanted
 
 log = logger("leadership")
@@ -32,11 +33,12 @@
 FRESH_S: Seconds = 3.0
 ANSWER_S: Seconds = 0.4
 FORWARD_S: Seconds = 1.5
+PICTURE_S: Seconds = 1.0
 MAX_QUESTIONS = 256
 MAX_JOBS = 1_000
 """Of one question, so that its answer fits a netstring."""
 
-Reply = m.ProgressAnswer | m.Forwarded | Handed
+Reply = m.ProgressAnswer | m.Forwarded | Handed | PicturePart
 Serve = Callable[[str, str, bytes], Awaitable[Answer]]
 """Answers a peer's user: the operation, the job's id where it is not in the body, the body."""
 
@@ -122,6 +124,7 @@
         on_replica: Callable[[Hints | HintsWanted], None] = lambda message: None,
         on_lost: Callable[[NodeName], None] = lambda peer: None,
         hand_over: Callable[[int], Awaitable[Handed]] | None = None,
+        picture_part: Callable[[PictureWanted], PicturePart] | None = None,
     ) -> None:
         self._clock = clock
         self._peers = peers
@@ -132,6 +135,7 @@
         self._on_replica = on_replica
         self._on_lost = on_lost
         self._hand_over = hand_over
+        self._picture_part = picture_part
         self._lost: dict[NodeName, float] = {}
         """Peers whose link was closed and that refuse to be called, and when it was closed."""
         self._closed_at: dict[NodeName, float] = {}
@@ -146,7 +150,8 @@
         reactor.listenTCP(int(port), _Listener(self), interface=host)
         for peer in self._peers:
             peer_host, _, peer_port = peer.endpoint.rpartition(":")
-            reactor.connectTCP(peer_host, int(peer_port), _Caller(self, NodeName(peer.host_name), self._clock), timeout=2)
+            caller = _Caller(self, NodeName(peer.host_name), self._clock)
+            reactor.connectTCP(peer_host, int(peer_port), caller, timeout=2)
         loop = LoopingCall(self._send_beats)
         loop.clock = self._clock  # type: ignore[assignment]
         loop.start(BEAT_S)
@@ -194,9 +199,21 @@
         answer = await self._question(line, Handover, ANSWER_S) if line is not None else None
         return answer if isinstance(answer, Handed) else None
 
+    async def ask_picture(self, peer: NodeName, after: str) -> PicturePart | None:
+        """A piece of what a peer followed before the state service lost data."""
+        line = self._lines.get(peer)
+        if line is None:
+            return None
+        answer = await self._question(line, lambda number: PictureWanted(number, after), PICTURE_S)
+        return answer if isinstance(answer, PicturePart) else None
+
     async def _answer_handover(self, line: _Line, message: Handover) -> None:
         line.send(await self._hand_over(message.number) if self._hand_over is not None else Handed(message.number))
 
+    def beat_now(self) -> None:
+        """Something happened that peers should hear at once."""
+        self._send_beats()
+
     def _send_beats(self) -> None:
         beat = self._own_beat()
         for line in list(self._lines.values()):
@@ -215,6 +232,9 @@
             Deferred.fromCoroutine(self._serve_peer(line, message))
         elif isinstance(message, (Hints, HintsWanted)):
             self._on_replica(message)
+        elif isinstance(message, PictureWanted):
+            if self._picture_part is not None:
+                line.send(self._picture_part(message))
         elif isinstance(message, Handover):
             Deferred.fromCoroutine(self._answer_handover(line, message))
         else:
@@ -249,9 +269,12 @@
         finally:
             self._questions.pop(number, None)
 
-    async def forward(self, operation: str, job: str, body: bytes) -> Answer | None:
-        """The answer of a peer that the state service answers; None without one in time."""
-        line = next((self._lines[b.node] for b in self._fresh() if b.store_ok and b.node in self._lines), None)
+    async def forward(
+        self, operation: str, job: str, body: bytes, to: NodeName | None = None
+    ) -> Answer | None:
+        """The answer of a peer that the state service answers, or of the one named; None without one in time."""
+        beats = [beat for beat in self._fresh() if (beat.store_ok if to is None else beat.node == to)]
+        line = next((self._lines[beat.node] for beat in beats if beat.node in self._lines), None)
         if line is None:
             return None
         text = body.decode()
--- a/meadowcross/leadership/standby.py
+++ b/meadowcross/leadership/standby.py
@@ -71,7 +71,13 @@
 def rank(own: Beat, peers: list[Beat]) -> int:
     """Our place among those that may stand: who is warm and heard by workers first, then by name."""
     most = max((beat.hears for beat in (own, *peers)), default=0)
-    order = sorted((own, *peers), key=lambda beat: (not beat.store_ok, not beat.warm, 2 * beat.hears < most, beat.node))
+
+    def place(beat: Beat) -> tuple[bool, int, bool, bool, NodeName]:
+        # After a loss who followed furthest has most to write back.
+        followed = beat.followed if own.era_lost else 0
+        return not beat.store_ok, -followed, not beat.warm, 2 * beat.hears < most, beat.node
+
+    order = sorted((own, *peers), key=place)
     return order.index(own)
 
 
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
@@ -25,8 +26,10 @@
     Mark,
     NodeName,
     Seconds,
+    TaskId,
     Token,
     WallTime,
+    mark_of,
 )
 from meadowcross.estimates.runs import MeanRuns, Runs
 from meadowcross.estimates.samples import Samples, Where
@@ -42,6 +45,10 @@
 from meadowcross.placement.engine import Choice, place
 from meadowcross.placement.moves import moves
 from meadowcross.placement.preemption import GivingWay
+from meadowcross.rebuild.gather import Rebuild, picture_of
+from meadowcross.rebuild.merge import Merged
+from meadowcross.rebuild.messages import PROGRESS_KEY, Stage
+from meadowcross.rebuild.writeback import WriteBack
 from meadowcross.replica.follower import Follower
 from meadowcross.replica.messages import Hints
 from meadowcross.replica.picture import Picture
@@ -74,6 +81,10 @@
 WATCH_RUNS_S: Seconds = 4.0
 ESTIMATES_AFTER_S: Seconds = 3.0
 CANCEL_SHARE = 0.5
+ATTEMPTS_LOST = 1_000
+"""More than a task can have been tried in the part of its records that is lost."""
+LIST_MARGIN_S: Seconds = 1.0
+"""For what the time of a rental is off by."""
 BAD_MACHINE = "it failed what fares well elsewhere"
 
 
@@ -92,7 +103,13 @@
         most_heard: Callable[[], int | None],
         follower: Follower | None = None,
         hints: Hints | None = None,
+        rebuild: Rebuild | None = None,
     ) -> None:
+        self._rebuild = rebuild
+        self._back: WriteBack | None = None
+        self._doubted: set[MachineId] = set()
+        """Machines that may run tasks which no record tells of, as the last of them was lost."""
+        self._list_awaited = False
         self._follower = follower
         self._hints = hints
         self._clock: Clock = reactor
@@ -106,7 +123,7 @@
         self.book = Book()
         self.roster = Roster(token)
         self.health = Health(lambda name: name in self.roster.machines)
-        self._leader_condition = sm.Condition(LEADER_KEY, Mark(token))
+        self._leader_condition = sm.Condition(LEADER_KEY, mark_of(token))
         self._learn(operator)
         self.view = View(reactor, settings.facts, types, self.book, self.roster, self.health, self.runs)
         self._wrote = Mark(0)
@@ -126,6 +143,7 @@
                 reactor, self.book, self.roster, self.view, types, self.fleet, self._learned
             )
         self.loaded = False
+        self._merged: Merged | None = None
         self._followed = False
         """Whether the picture that the term began with had been followed, not read."""
         self._stopped = False
@@ -220,6 +238,8 @@
             return
         self._presume()
         self.loaded = True
+        if self._rebuild is not None and self._merged is not None:
+            self._write_back(self._rebuild, self._merged)
         log.info(
             "term %d: %d open jobs, %d machines, %d placements, %s, %s",
             self.token,
@@ -248,7 +268,9 @@
 
     async def _picture(self) -> tuple[list[sm.Item], list[sm.Item], list[sm.Item], Mark]:
         """Machines, open jobs and chunks, complete up to a revision: as followed, or read now."""
-        picture = await self._follower.take(Mark(self.token)) if self._follower is not None else None
+        if self._rebuild is not None and self._rebuild.wanted():
+            return await self._rebuilt(self._rebuild)
+        picture = await self._follower.take(mark_of(self.token)) if self._follower is not None else None
         if picture is None:
             machines, _ = await self._store.list(fm.MACHINES)
             jobs, revision = await self._store.list(jm.OPEN)
@@ -263,6 +285,126 @@
         self._followed = True
         return picture.items(fm.MACHINES), picture.items(jm.OPEN), picture.items(jm.CHUNKS), picture.revision
 
+    async def _rebuilt(self, rebuild: Rebuild) -> tuple[list[sm.Item], list[sm.Item], list[sm.Item], Mark]:
+        """After a loss: what is still known somewhere, with the versions that the store has of it now."""
+        merged, revision = await rebuild.gather()
+        self._merged = merged
+        if self._follower is not None:
+            self._follower.lead(picture_of(merged, revision), True)
+        return merged.under(fm.MACHINES), merged.under(jm.OPEN), merged.under(jm.CHUNKS), revision
+
+    def _write_back(self, rebuild: Rebuild, merged: Merged) -> None:
+        """The picture stands. Until every machine has answered, or is proven deleted, one of those whose records
+        were lost may run anything: then nothing is placed. A leader's own picture lacks nothing."""
+        if not merged.whole:
+            self._doubted = set(self.roster.machines)
+            self._list_awaited = True
+            for machine in self.roster.machines.values():
+                # Who says nothing now is given up like anybody who falls silent, be it still booting.
+                machine.presumed_at = self.now
+            for job in self.book.jobs.values():
+                # Above whatever was tried in the part that is lost.
+                job.attempts = [attempt + ATTEMPTS_LOST for attempt in job.attempts]
+            log.info("term %d: %d machines may run what no record tells of", self.token, len(self._doubted))
+        self._back = WriteBack(
+            self._clock, rebuild.eras, merged, self.book, self.committer, rebuild.lost_wait_s, self.kick
+        )
+        for machine in self.roster.machines.values():
+            # On record with all who followed: it may be offered before its key is back.
+            machine.stored = True
+        self._back.begin()
+
+    def _certain(self) -> bool:
+        """Whether all that runs is known, so that placing what seems to run nowhere starts nothing twice."""
+        return not self._doubted and not self._list_awaited
+
+    def _cleared(self, machine: MachineId) -> None:
+        """It has answered with our token, or is proven gone."""
+        if machine in self._doubted:
+            self._doubted.discard(machine)
+            if self._certain():
+                log.info("term %d: all that runs is known after %.2f s", self.token, self.now - self._began)
+                self.kick()
+
+    def listed(self, described: Instant | None) -> None:
+        """The cloud's list came; it shows the machines as they were then, where that can be told."""
+        lag = 2 * self._settings.facts.cloud.list_lag_s
+        if self._list_awaited and (
+            self.now - self._began > lag or (described is not None and described > self._began + LIST_MARGIN_S)
+        ):
+            self._list_awaited = False
+            # Who is on no record and in no list that is younger than the loss does not exist.
+            self._cleared(next(iter(self._doubted), MachineId("")))
+            self.kick()
+
+    def _claim(self, machine: Machine) -> None:
+        """After a loss, tasks on a machine that no record tells of are somebody's: of a known job they are taken
+        as placed, or done; of one that nobody knows they are let be, until its user comes or time is up."""
+        assert self._rebuild is not None
+        strays, exited = machine.strays, machine.exited
+        machine.unclaimed, machine.strays, machine.exited = [], [], []
+        for task in (*strays, *exited):
+            name = TaskId.parse(task.task)
+            job = self.book.jobs.get(name.job)
+            gone = task.state is wm.TaskState.EXITED
+            if job is None and not self._known_to_be_over(name.job) and self._rebuild.unsettled():
+                machine.unclaimed.append(task)
+            elif job is None or name.number >= job.spec.tasks or not self._adopt(machine, job, name, task):
+                (machine.exited if gone else machine.strays).append(task)
+
+    def _unsettled(self) -> bool:
+        return self._rebuild is not None and self._rebuild.unsettled()
+
+    def _settle_lost(self) -> None:
+        """Time is up for jobs that nobody knows: they are told as unknown, and what still runs of them is stopped."""
+        eras = self._rebuild.eras if self._rebuild is not None else None
+        if eras is None or eras.phase is not Stage.SETTLING or eras.progress is None:
+            return
+        if eras.progress.until is None or self.now < eras.progress.until:
+            return
+        jobs = Counter(TaskId.parse(t.task).job for m in self.roster.machines.values() for t in m.unclaimed)
+        for job, tasks in sorted(jobs.items()):
+            log.error("job %s is given up: %d of its tasks were found, and no record of it", job, tasks)
+
+        def done(mark: Mark) -> None:
+            eras.now_at(None)
+            for machine in self.roster.machines.values():
+                # Its next report shows them as any other task without a record.
+                machine.unclaimed, machine.shown = [], None
+
+        self.committer.add(("progress", None), lambda: Built([], [sm.Drop(PROGRESS_KEY)], done), True)
+
+    def _known_to_be_over(self, job: JobId) -> bool:
+        return self._follower is not None and self._follower.get(jm.ended_key(job)) is not None
+
+    def _adopt(self, machine: Machine, job: Job, name: TaskId, task: wm.TaskReport) -> bool:
+        """Take a reported task as what its record would have said; False: its record is newer."""
+        known = job.placed.get(name.number)
+        if job.done[name.number] or (known is not None and known.attempt >= task.attempt):
+            return False
+        if known is None and task.attempt <= job.attempts[name.number] - ATTEMPTS_LOST:
+            return False
+        if known is not None:
+            # A later attempt was started only after this one was proven gone.
+            self.roster.detach(known, job.spec, self.now)
+            self.book.gone(known)
+        done = task.state is wm.TaskState.EXITED
+        if done and task.why != wm.DONE:
+            return False
+        placement = self.book.inherit(job, name.number, task.attempt, machine.id, self.now)
+        job.attempts[name.number] = max(job.attempts[name.number], task.attempt)
+        self.book.rebuild_waiting(job)
+        if job.is_gang:
+            job.gang_attempt = max(p.attempt for p in job.placed.values())
+        self.book.mark_dirty(job, name.number, True)
+        log.info("task %s attempt %d on %s is taken over from its report", name, task.attempt, machine.id)
+        if done:
+            self.book.task_done(placement)
+            self._after_change(job)
+            return False
+        self.roster.attach(machine, placement, job.spec)
+        return True
+
     async def _load(self) -> Mark:
         machines, jobs, chunks, revision = await self._picture()
         now = self.now
@@ -272,6 +414,7 @@
             machine = self.add_machine(MachineId(item.key.removeprefix(fm.MACHINES)), kind)
             machine.addr = record.addr
             machine.rented_at = Instant(min(now, record.rented))
+            machine.rented_known = True
             machine.stored = True
         for item in jobs:
             self._job_seen(item.key, item.value, item.mark)
@@ -395,6 +538,13 @@
         if job is None:
             job = self.book.add(record, mark)
             log.debug("job %s joins the queue", job.id)
+            if self.loaded and self._unsettled():
+                # Submitted again: what machines still have of it is its own.
+                job.attempts = [ATTEMPTS_LOST] * job.spec.tasks
+                for machine in self.roster.machines.values():
+                    if any(TaskId.parse(task.task).job == job.id for task in machine.unclaimed):
+                        machine.strays += machine.unclaimed
+                        self._claim(machine)
         job.mark = mark
         if record.cancelled is not None and job.cancelled is None:
             job.cancelled = record.cancelled
@@ -456,6 +606,10 @@
         if machine.up and self.view.silent(machine):
             machine.silent_until = self.now
         outcomes = self.roster.apply(machine, report, self.now)
+        if outcomes is not None and (machine.strays or machine.exited) and self._unsettled():
+            self._claim(machine)
+        if machine.confirmed and not was_confirmed:
+            self._cleared(machine.id)
         if machine.addr != had_addr or not machine.stored:
             self.store_machine(machine)
         if first and machine.up and had_addr is None:
@@ -541,6 +695,9 @@
         self._wrote = mark
         if self._follower is not None:
             self._follower.written(mark, changes)
+        if self._back is not None:
+            for change in changes:
+                self._back.stored(change.key)
 
     def _ended(self, job: Job) -> None:
         self.health.forget_job(job)
@@ -606,6 +763,7 @@
                 self._samples.gone(job, placement, False, heard, self.now)
                 self.book.gone(placement)
                 self._after_change(job)
+        self._cleared(name)
         self.health.forget_machine(name)
         self.keeper.drop_later(fm.machine_key(name))
         self.kick()
@@ -625,14 +783,31 @@
             elif key.startswith(jm.CHUNKS):
                 job_id, chunk = jm.parse_chunk_key(key)
                 job = self.book.jobs.get(job_id)
+                if job is not None and (item.mark if item is not None else 0) < job.chunk_marks.get(chunk, 0):
+                    self._lost(f"{key} went back")
+                    return
                 if job is not None:
                     job.chunk_marks[chunk] = item.mark if item is not None else Mark(0)
             elif key.startswith(jm.OPEN):
+                known = self.book.jobs.get(JobId(key.removeprefix(jm.OPEN)))
                 if item is not None:
+                    if known is not None and item.mark < known.mark:
+                        self._lost(f"{key} went back")
+                        return
                     self._job_seen(item.key, item.value, item.mark)
-                else:
+                elif known is not None and known.mark > 0:
                     # Only a leader moves a job away, so our own lost transaction did.
-                    self.book.remove(JobId(key.removeprefix(jm.OPEN)))
+                    if await self._store.get(jm.ended_key(known.id), Urgency.PLACEMENT) is None:
+                        self._lost(f"{key} is gone")
+                        return
+                    self.book.remove(known.id)
+            elif self._back is not None and item is not None:
+                self._back.stored(key)
+
+    def _lost(self, why: str) -> None:
+        """Proof that the store lost data: versions only grow, and only we move jobs away."""
+        if self._rebuild is not None:
+            self._rebuild.eras.lost(why)
 
     # Placing
 
@@ -656,6 +831,7 @@
             self._condemn(self.health.verdicts(self.now), BAD_MACHINE)
             self._clear_late_cancels()
             self._leave_taken()
+            self._settle_lost()
             if self.now - self._watched_at >= WATCH_RUNS_S:
                 self._watched_at = self.now
                 if self._outlooks is not None:
@@ -710,7 +886,7 @@
         if self._store.failing_since is not None and self.now - self._store.failing_since > 1.0:
             return
         began = self.now
-        wants = self.view.wants()
+        wants = self.view.wants() if self._certain() else []
         if wants:
             rooms = self.view.rooms()
             choices = place(self.view.offers(), wants, rooms, self._operator, self._giving_way.holds)
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -156,7 +156,8 @@
         fastest = self._fastest_fetch()
         wants = []
         for job in self._book.waiting.values():
-            if job.cancelled is not None or job.ending or job.paused_until > now:
+            if job.cancelled is not None or job.ending or job.paused_until > now or not job.mark:
+                # Without a version its record is still to be written back after a loss.
                 continue
             if job.spec.team not in spare or not self._gang_ready(job):
                 continue
--- a/meadowcross/replica/follower.py
+++ b/meadowcross/replica/follower.py
@@ -9,7 +9,9 @@
 from collections import deque
 from collections.abc import Sequence
 from enum import Enum
+from typing import NamedTuple
 
+from msgspec import Raw
 from twisted.internet.defer import Deferred
 
 from meadowcross.common.clock import Clock, pause
@@ -39,9 +41,20 @@
     COLD = "cold"
     WARM = "warm"
     LEADING = "leading"
+    FROZEN = "frozen"
+    """The store has lost data: what was followed before is kept for the rebuild."""
     OFF = "off"
 
 
+class Former(NamedTuple):
+    """A picture of before a loss."""
+
+    picture: Picture
+    era: int
+    whole: bool
+    """This node led: its picture lacks nothing that was stored."""
+
+
 class Follower:
     def __init__(self, clock: Clock, store: StoreClient, most_bytes: int) -> None:
         self._clock = clock
@@ -54,6 +67,9 @@
         self._looked_at = Instant(0.0)
         self._wrote_at = Instant(0.0)
         self._resumed: Deferred[None] | None = None
+        self.former: Former | None = None
+        self._own = False
+        """The picture is that of our own last term, not read since."""
         self.read_again = 0
         """How often the picture was read anew after the first time."""
 
@@ -79,7 +95,7 @@
 
     async def run(self) -> None:
         while self.state is not State.OFF:
-            if self.state is State.LEADING:
+            if self.state in (State.LEADING, State.FROZEN):
                 self._resumed = Deferred()
                 await self._resumed
                 continue
@@ -106,7 +122,7 @@
         if self.state is not State.COLD:
             return
         picture.read(items, revision)
-        self.picture = picture
+        self.picture, self._own = picture, False
         self._become(State.WARM, "read")
         self._check_size()
 
@@ -124,7 +140,7 @@
         asked = self.now
         picture = self.picture
         seen = await self._store.watch("", picture.revision, wait)
-        if picture is not self.picture or self.state is State.LEADING:
+        if picture is not self.picture or self.state is not State.WARM:
             return False
         self._looked_at = max(self._looked_at, asked) if not seen.events else self.now
         self._note_writes(seen.events, picture.revision)
@@ -232,6 +248,18 @@
             elif (known := self.picture.get(key)) is not None:
                 self.picture.drop(key, Mark(known.mark + 1))
 
+    def accepted(self, key: str, value: Raw, mark: Mark) -> None:
+        """This node stored something for a user; the feed will tell it again. Nobody else may know it yet."""
+        if self.state in (State.WARM, State.LEADING):
+            self.picture.put(key, value, mark)
+
+    def followed(self) -> Mark:
+        """For whoever asks who knows most of the store as it was before a loss; a leader knows all."""
+        former = self.former
+        if former is None:
+            return self.picture.revision
+        return Mark(former.picture.newest + 1) if former.whole else former.picture.revision
+
     def seen(self, events: Sequence[Event], revision: Mark) -> None:
         """What users stored, as the term's own watch of open jobs tells it."""
         if self.state is State.LEADING:
@@ -244,9 +272,34 @@
         """The term is over. Transactions of ours without an answer may have been stored, so all is read again;
         until then the picture stays as it was, and is not used."""
         if self.state is State.LEADING:
+            self._own = True
             self._become(State.COLD, "the term is over")
             self._resume()
 
+    def lose(self, era: int) -> None:
+        """The store has lost data in this era: what was followed is kept as it is, and nothing follows."""
+        if self.state in (State.OFF, State.FROZEN):
+            return
+        own = self.state is State.LEADING or (self.state is State.COLD and self._own)
+        if self.former is None or own:
+            self.former = Former(self.picture, era, own)
+        else:
+            # Lost again, in the middle of a rebuild: what came back so far goes on top of what was known before.
+            before = self.former.picture
+            first = before.revision
+            for item in self.picture.entries():
+                before.put(item.key, item.value, Mark(first + item.mark))
+            before.revision = Mark(first + self.picture.revision)
+        self._become(State.FROZEN, "the state service has lost data")
+
+    def thaw(self) -> None:
+        """All is back, or known to be gone: read and follow the store as it is now."""
+        self.former = None
+        if self.state is State.FROZEN:
+            self.picture = Picture()
+            self._become(State.COLD, "the rebuild is done")
+            self._resume()
+
     def agrees(self, revision: Mark, counts: Counts) -> bool:
         """Compare with what the leader counted; True also where that revision is not remembered."""
         ours = self.picture.counts_at(revision) if self.state is State.WARM else None
--- a/meadowcross/replica/picture.py
+++ b/meadowcross/replica/picture.py
@@ -36,6 +36,8 @@
     def __init__(self) -> None:
         self.revision = Mark(0)
         """All changes up to it are in; some later ones may be."""
+        self.newest = Mark(0)
+        """The highest version of any key that it has, or had."""
         self.size = 0
         """In bytes, about."""
         self._families: dict[str, dict[str, Item]] = {name: {} for name in (*FAMILIES, OTHERS)}
@@ -51,11 +53,16 @@
         """Of `j/`, `t/`, `w/` or `e/`; of all other keys with the empty name."""
         return list(self._families[family].values())
 
-    def keys(self) -> Iterator[Item]:
+    def entries(self) -> Iterator[Item]:
         for family in self._families.values():
             yield from list(family.values())
 
+    def after(self, key: str) -> list[Item]:
+        """All items whose keys come after this one, in order."""
+        return sorted((item for item in self.entries() if item.key > key), key=lambda item: item.key)
+
     def put(self, key: str, value: Raw, mark: Mark) -> None:
+        self.newest = max(self.newest, mark)
         family = self._family(key)
         known = family.get(key)
         if known is not None:
@@ -70,6 +77,7 @@
         self.size += len(content)
 
     def drop(self, key: str, mark: Mark) -> None:
+        self.newest = max(self.newest, mark)
         family = self._family(key)
         known = family.get(key)
         if known is not None and known.mark < mark:
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Protocol
 from urllib.parse import quote
 
 import msgspec
@@ -46,6 +47,19 @@
     """The watch has missed changes: read the keys again."""
 
 
+class Guard(Protocol):
+    """Knows whether the service still holds what was stored in it; see `rebuild.era`."""
+
+    def condition(self) -> m.Condition | None:
+        """Carried by whatever is written or compared. Raises Unavailable."""
+
+    def another(self) -> None:
+        """That condition failed."""
+
+    def went_back(self, seen: Mark, told: Mark) -> None:
+        """The service's revision is lower than before."""
+
+
 class StoreClient:
     def __init__(self, clock: Clock, http: HttpClient, address: Address, facts: StateFacts) -> None:
         self._clock = clock
@@ -53,7 +67,12 @@
         self._address = address
         self._facts = facts
         self.max_changes = facts.txn_ops
-        self.max_conditions = 4 * facts.txn_ops
+        self.max_conditions = 4 * facts.txn_ops - 1
+        """One more is kept for the era's."""
+        self.guard: Guard | None = None
+        self.highest = Mark(0)
+        """The highest revision that the service has told of, in this era."""
+        self._era = 0
         self.max_value = int(facts.value_kb * 1024)
         self.failing_since: float | None = None
         self.set_share(SHARE_OF_OTHERS)
@@ -108,6 +127,39 @@
             raise Refused(f"read of {key}: {reply.status}")
         return m.decode_item(reply.body)
 
+    async def page(
+        self, prefix: str, limit: int, after: str = "", urgency: Urgency = Urgency.LEADERSHIP
+    ) -> m.Page:
+        """At most so many keys under the prefix, in order, beginning after one."""
+        since = f"&since={quote(after, safe='/')}" if after else ""
+        seen = self._seen()
+        reply = await self._call("GET", f"/kv?under={prefix}{since}&limit={limit}", None, urgency, 5.0)
+        if reply.status != 200:
+            raise Refused(f"list of {prefix}: {reply.status}")
+        part = m.decode_page(reply.body)
+        self._note(seen, part.revision)
+        return part
+
+    def restart(self, revision: Mark) -> None:
+        """Another era: revisions may begin anew."""
+        self._era += 1
+        self.highest = revision
+
+    def _seen(self) -> tuple[int, Mark]:
+        """What is known when a request is sent."""
+        return self._era, self.highest
+
+    def _note(self, then: tuple[int, Mark], told: Mark) -> None:
+        """A request sent when `seen` was the highest revision known was answered with `told`: a store that is
+        consistent can't tell less. Only what was known at the sending counts, or answers that overtook each
+        other would look like a loss."""
+        era, seen = then
+        if era != self._era:
+            return
+        if told < seen and self.guard is not None:
+            self.guard.went_back(seen, told)
+        self.highest = max(self.highest, told)
+
     async def list(
         self, prefix: str, urgency: Urgency = Urgency.LEADERSHIP, page: int = 1000
     ) -> tuple[list[m.Item], Mark]:
@@ -117,11 +169,7 @@
         first: Mark | None = None
         after = ""
         while True:
-            since = f"&since={quote(after, safe='/')}" if after else ""
-            reply = await self._call("GET", f"/kv?under={prefix}{since}&limit={page}", None, urgency, 5.0)
-            if reply.status != 200:
-                raise Refused(f"list of {prefix}: {reply.status}")
-            part = m.decode_page(reply.body)
+            part = await self.page(prefix, page, after, urgency)
             # A watch from the first page's revision sees whatever changed in between.
             first = part.revision if first is None else first
             items.extend(part.items)
@@ -136,14 +184,39 @@
         urgency: Urgency,
         timeout: Seconds = CALL_S,
     ) -> Mark:
+        era = self.guard.condition() if self.guard is not None else None
+        if era is None:
+            return await self.transact_bare(conditions, changes, urgency, timeout)
+        try:
+            return await self.transact_bare([*conditions, era], changes, urgency, timeout)
+        except Conflicted as conflict:
+            if era.key in conflict.failed and self.guard is not None:
+                self.guard.another()
+                raise Unavailable("the state service's era is another") from conflict
+            raise
+
+    async def transact_bare(
+        self,
+        conditions: Sequence[m.Condition],
+        changes: Sequence[m.Put | m.Drop],
+        urgency: Urgency,
+        timeout: Seconds = CALL_S,
+    ) -> Mark:
+        """Without the era's condition: for what begins an era, or must work in any."""
         if changes:
             await self._writes.take(float(len(changes)), urgency)
         body = m.encode(m.Transaction(list(conditions), list(changes)))
+        seen = self._seen()
         reply = await self._call("POST", "/multi", body, urgency, timeout)
         if reply.status == 200:
-            return m.decode_revision(reply.body).revision
+            told = m.decode_revision(reply.body).revision
+            self._note(seen, told)
+            return told
         if reply.status == 409:
-            raise Conflicted(m.decode_conflict(reply.body).failed)
+            conflict = m.decode_conflict(reply.body)
+            if conflict.revision is not None:
+                self._note(seen, conflict.revision)
+            raise Conflicted(conflict.failed)
         raise Refused(f"transaction: {reply.status} {reply.body[:200]!r}")
 
     async def compare(self, conditions: Sequence[m.Condition], urgency: Urgency = Urgency.USER) -> set[str]:
@@ -175,6 +248,7 @@
 
     async def watch(self, prefix: str, since: Mark, wait: Seconds) -> m.Events:
         path = f"/watch?under={prefix}&since={since}&waitMs={int(wait * 1000)}"
+        then = (self._era, since)
         # An open watch says nothing during an outage, so its silence is no failure.
         reply = await self._call("GET", path, None, Urgency.LEADERSHIP, wait + 5.0, spare=True)
         if reply.status == 410:
@@ -182,6 +256,8 @@
         if reply.status != 200:
             raise Refused(f"watch of {prefix}: {reply.status}")
         try:
-            return m.decode_events(reply.body)
+            events = m.decode_events(reply.body)
         except msgspec.DecodeError as error:
             raise Unavailable(f"watch of {prefix}: {error}") from error
+        self._note(then, events.revision)
+        return events
--- a/meadowcross/store/messages.py
+++ b/meadowcross/store/messages.py
@@ -29,6 +29,7 @@
 
 class Conflict(Struct):
     failed: list[str] = []
+    revision: Mark | None = field(name="ledger", default=None)
 
 
 class HoldAnswer(Struct):
--- a/meadowcross/workers/api.py
+++ b/meadowcross/workers/api.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from meadowcross.common.http import Answer, Router, reason
-from meadowcross.common.types import NodeName
+from meadowcross.common.types import NodeName, Token
 from meadowcross.workers import messages as m
 from meadowcross.workers.visitors import Visitors
 
@@ -16,8 +16,13 @@
 
 class WorkerApi:
     def __init__(
-        self, take: Callable[[], TakeReport | None], leader: Callable[[], NodeName | None], visitors: Visitors
+        self,
+        take: Callable[[], TakeReport | None],
+        leader: Callable[[], NodeName | None],
+        visitors: Visitors,
+        token_seen: Callable[[Token], None] = lambda token: None,
     ) -> None:
+        self._token_seen = token_seen
         self._take = take
         self._leader = leader
         self._visitors = visitors
@@ -29,10 +34,13 @@
         take = self._take()
         try:
             if take is None:
-                self._visitors.came(m.decode_reporter(body).machine)
+                reporter = m.decode_reporter(body)
+                self._visitors.came(reporter.machine)
+                self._token_seen(reporter.token)
             else:
                 report = m.decode_report(body)
                 self._visitors.came(report.machine)
+                self._token_seen(report.token)
                 response = take(report)
                 if response is not None:
                     return Answer(200, m.encode(response) + b"\n")
--- a/meadowcross/workers/messages.py
+++ b/meadowcross/workers/messages.py
@@ -45,9 +45,10 @@
 
 
 class Reporter(Struct):
-    """Of a report, just whose it is: all that a node that does not lead reads."""
+    """Of a report, whose it is and the highest token it has seen: all that a node that does not lead reads."""
 
     machine: MachineId = field(name="stall")
+    token: Token = field(name="crook", default=Token(0))
 
 
 DONE = "done"
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -67,6 +67,8 @@
         self.type = machine_type
         self.addr: Address | None = None
         self.rented_at = now
+        self.rented_known = False
+        """By its record, not by when it was first heard of."""
         self.known_at = now
         self.version = ReportVersion(0, 0)
         self.confirmed = False
@@ -90,6 +92,8 @@
         """What the last report showed, while nothing that it is compared with has changed."""
         self.exited: list[m.TaskReport] = []
         self.strays: list[m.TaskReport] = []
+        self.unclaimed: list[m.TaskReport] = []
+        """Tasks of jobs that nobody knows, after a loss: neither stopped nor forgotten."""
         self.images: set[str] = set()
         self.cpus = 0.0
         self.gpus = 0.0
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 from msgspec import Raw
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 
 from lab.scenario import Fault, load
@@ -37,7 +38,7 @@
 APPLIED = [
     # name, answers to the feed (events, revision), keys and versions in the end, revision
     ("writes and drops", [([wrote("j/a", 1), wrote("j/b", 2), dropped("j/a", 3)], 3)], {"j/b": 2}, 3),
-    ("an answer that came after a newer one", [([wrote("j/a", 1), dropped("j/a", 5)], 5), ([wrote("j/a", 1)], 4)], {}, 5),
+    ("an answer that came late", [([wrote("j/a", 1), dropped("j/a", 5)], 5), ([wrote("j/a", 1)], 4)], {}, 5),
     ("the same answer twice", [([wrote("j/a", 1)], 1), ([wrote("j/a", 1)], 1)], {"j/a": 1}, 1),
     ("written again after its drop", [([wrote("j/a", 1), dropped("j/a", 2), wrote("j/a", 3)], 3)], {"j/a": 3}, 3),
 ]  # fmt: skip
@@ -48,7 +49,7 @@
     picture = Picture()
     for events, upto in answers:
         picture.apply(events, Mark(upto))
-    assert {item.key: item.mark for item in picture.keys()} == keys and picture.revision == revision
+    assert {item.key: item.mark for item in picture.entries()} == keys and picture.revision == revision
     for key, mark in keys.items():
         picture.drop(key, Mark(mark + 1))
     assert picture.size == 0
@@ -77,7 +78,7 @@
 
 
 def same(world, follower):
-    return {i.key: i.mark for i in follower.picture.keys()} == {k: v["mark"] for k, v in world.state.keys.items()}
+    return {i.key: i.mark for i in follower.picture.entries()} == {k: v["mark"] for k, v in world.state.keys.items()}
 
 
 def test_a_follower_reads_once_then_follows_at_a_bounded_pace(world):
@@ -105,7 +106,7 @@
     world.pass_time(7.0)
     assert follower.warm and same(world, follower) and follower.read_again == 1
     small = follow(world, 100)
-    assert small.state is State.OFF and not list(small.picture.keys())
+    assert small.state is State.OFF and not list(small.picture.entries())
 
 
 def test_a_follower_waits_out_an_outage_and_gaps_in_what_it_is_told(world):
@@ -197,7 +198,7 @@
     # name, what is done to the second of three messages, seconds until they are taken, token that takes, usable
     ("all heard", lambda hearer, message: hearer.hear(message), 2.0, 8, True),
     ("one missed", lambda hearer, message: None, 2.0, 8, False),
-    ("of other settings", lambda hearer, message: hearer.hear(msgspec.structs.replace(message, settings="t")), 2.0, 8, False),
+    ("of other settings", lambda hearer, message: hearer.hear(replace(message, settings="t")), 2.0, 8, False),
     ("too old, as after standing still for a while", lambda hearer, message: hearer.hear(message), 9.0, 8, False),
     ("of a leader not before us", lambda hearer, message: hearer.hear(message), 2.0, 7, False),
 ]  # fmt: skip
@@ -382,7 +383,7 @@
                 term = take(token)
                 if term._hints is not None:
                     names = list(term._hints.sessions)
-                    term._hints = msgspec.structs.replace(
+                    term._hints = replace(
                         term._hints, sessions=dict.fromkeys(names, 9), silent=dict.fromkeys(names, 500.0)
                     )
                 return term
