Losses are looked for: audits, reports beyond their record, cold starts that ask every machine

Change: a follower compares its picture with the store a few keys at a time; a report that shows an attempt beyond its record proves a loss; a leader that nobody can tell what was before places only once every machine on record has answered or is deleted; a job that the store does not know is asked of a peer that has followed for longer.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -23,6 +23,8 @@
 
 GC_OBJECTS, GC_TIMES = 100_000, 50
 PREPARE_S = 30.0
+LONG_S = 300.0
+"""Who has followed for so long has seen ended what users still ask about, or has had it compared."""
 
 
 def parser(program: str) -> argparse.ArgumentParser:
@@ -94,6 +96,7 @@
         from meadowcross.leadership.reach import heard_window
         from meadowcross.leadership.standby import Standby
         from meadowcross.leadership.term import Term
+        from meadowcross.rebuild.audit import Audit
         from meadowcross.rebuild.era import Eras
         from meadowcross.rebuild.gather import Rebuild, part_of
         from meadowcross.rebuild.messages import LEADER_KEY, PicturePart, PictureWanted, Stage
@@ -143,6 +146,7 @@
                 follower,
                 hearer.take(token) if follower is not None else None,
                 self.rebuild,
+                not (self.election.seasoned or any(one.seasoned for one in self.link.fresh_beats())),
             )
             self.term = term
             self._teller = Teller(node, token, same) if follower is not None else None
@@ -189,7 +193,7 @@
             followed = follower.followed() if follower is not None else Mark(0)
             return Beat(
                 node, self.store.answering(), self.election.token, visitors.count(), life, warm, self.link.all_lost(),
-                era, eras.is_lost(), eras.highest, followed,
+                era, eras.is_lost(), eras.old, self.election.seasoned, eras.highest, followed,
             )  # fmt: skip
 
         def on_beat(beat: Beat) -> None:
@@ -197,7 +201,7 @@
                 self.standby.heard(beat)
             eras.token_seen(max(beat.highest, beat.leads or Token(0)))
             if beat.era_lost and beat.era is not None:
-                eras.told_lost(beat.era, beat.node)
+                eras.told_lost(beat.era, beat.node, beat.era_lost_before)
             own = self.election.token
             if own is not None and beat.leads is not None and beat.leads > own:
                 self.election.stand_down(f"{beat.node} leads with token {beat.leads}")
@@ -205,7 +209,7 @@
         def on_loss(why: str) -> None:
             """Hold still: what was followed is kept, nobody leads until somebody begins a new era."""
             if follower is not None and eras.record is not None:
-                follower.lose(eras.record.number)
+                follower.lose(eras.record.number, eras.old)
             self.election.stand_down(f"the state service has lost data: {why}")
             self.election.nudge()
             self.link.beat_now()
@@ -220,16 +224,33 @@
                 # Somebody has seen a token from beyond this one. If the key is still ours, it is from before a loss.
                 if await self.store.compare([Condition(LEADER_KEY, mark)]):
                     return None
-                eras.lost(f"token {eras.highest} was seen, the store is at revision {self.store.highest}")
+                eras.lost(f"token {eras.highest} was seen, the store is at revision {self.store.highest}", True)
             beats = self.link.fresh_beats()
             return await eras.renew(LEADER_KEY, mark, max((one.era or 0 for one in beats), default=0))
 
         def picture_part(wanted: PictureWanted) -> PicturePart:
             if eras.record is not None and follower is not None and follower.former is None:
                 # Who asks has proof of a loss.
-                eras.told_lost(eras.record.number, "a peer")
+                eras.told_lost(eras.record.number, "a peer", False)
             return part_of(follower, wanted, node) if follower is not None else PicturePart(wanted.number, node)
 
+        def missing(job: JobId) -> None:
+            """The store knows nothing of a job that we saw stored."""
+            eras.lost(f"job {job} is gone")
+
+        async def elder(job: JobId) -> Answer | None:
+            """What a peer says of a job that the store does not know, if it has followed for longer than we have."""
+            if self.election.seasoned and follower is not None and follower.long_since(LONG_S):
+                return None
+            for one in self.link.fresh_beats():
+                if one.seasoned and one.warm:
+                    return await self.link.forward("query", job, b"", one.node)
+            return None
+
+        def our_audit() -> bool:
+            names = [one.node for one in self.link.fresh_beats() if one.warm and one.leads is None]
+            return current_term() is None and min([node, *names]) == node
+
         def to_leader() -> Forward | None:
             """While ended jobs come back only the leader knows them all."""
             if eras.phase is not Stage.ENDED or current_term() is not None:
@@ -284,6 +305,7 @@
         self.link = PeerLink(
             reactor, settings.peers, beat, own_progress, on_beat, serve, on_replica, on_lost, be_handed, picture_part
         )
+        self.audit = Audit(reactor, self.store, eras, follower, our_audit) if follower is not None else None
         self.rebuild = Rebuild(
             reactor, self.store, eras, follower, node, lambda: [one.node for one in self.link.fresh_beats()],
             self.link.ask_picture, lambda: [], operator.lost_wait_s or None,
@@ -310,7 +332,7 @@
             lambda: follower.state.value if follower is not None else "off",
             Trust(
                 lambda: eras.record is not None, eras.closed, eras.unknown_may_be_somebodys, to_leader,
-                follower.accepted if follower is not None else lambda key, value, mark: None,
+                follower.accepted if follower is not None else lambda key, value, mark: None, missing, elder,
             ),
         )  # fmt: skip
         api.routes(self.router)
@@ -348,8 +370,9 @@
             self._reactor.callLater(PREPARE_S, self._prepare)
         Deferred.fromCoroutine(self.catalog.run())
         Deferred.fromCoroutine(self.eras.run())
-        if self.follower is not None:
+        if self.follower is not None and self.audit is not None:
             Deferred.fromCoroutine(self.follower.run())
+            Deferred.fromCoroutine(self.audit.run())
             telling = LoopingCall(self._tell)
             telling.clock = self._reactor
             telling.start(TELL_S, now=False)
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -75,6 +75,10 @@
     return None
 
 
+async def _nobody(job: JobId) -> Answer | None:
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class Trust:
     """Whether the state service still holds what was stored in it, as far as requests need to know."""
@@ -88,6 +92,10 @@
     """How the leader is asked, while only it knows what was gathered of ended jobs."""
     accepted: Accepted = lambda key, value, mark: None
     """Told of what was stored for users, ahead of the feed."""
+    missing: Callable[[JobId], None] = lambda job: None
+    """Told of a job that this node saw stored, and that the store does not know."""
+    elder: Callable[[JobId], Awaitable[Answer | None]] = _nobody
+    """What a node that has followed the store for longer says of a job that the store does not know."""
 
 
 class JobApi:
@@ -114,7 +122,7 @@
         self._progress = progress
         self._peer_has_store = peer_has_store
         self._forward = forward
-        self._lookup = Lookup(clock, store, followed)
+        self._lookup = Lookup(clock, store, followed, self._trust.missing)
         self._standing = standing
         self._open = Counter[str]()
         self._chunk = max(1, store.max_value // 64)
@@ -259,7 +267,11 @@
     async def query(self, job_text: str) -> Answer:
         if not is_job_id(job_text):
             return reason(404, "no such job")
-        return await self._known(JobId(job_text)) or self._unknown()
+        job = JobId(job_text)
+        answer = await self._known(job)
+        if answer is None and (elder := await self._trust.elder(job)) is not None and elder.status == 200:
+            return elder
+        return answer or self._unknown()
 
     async def cancel(self, job_text: str) -> Answer:
         job = JobId(job_text)
--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -51,7 +51,14 @@
 
 
 class Lookup:
-    def __init__(self, clock: Clock, store: StoreClient, followed: Followed = lambda key: None) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        store: StoreClient,
+        followed: Followed = lambda key: None,
+        missing: Callable[[JobId], None] = lambda job: None,
+    ) -> None:
+        self._missing = missing
         self._followed = followed
         self._clock = clock
         self._store = store
@@ -191,6 +198,10 @@
                 found[job] = self.ended(job, m.decode_ended(item.value))
                 return
             if await self._still([sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))]):
+                if self._followed(m.open_key(job)) is not None:
+                    # An open job only ever moves to the ended key.
+                    self._missing(job)
+                    raise Unavailable(f"job {job} is missing")
                 with self._lock:
                     _remember(self._open, job, ABSENT)
                 found[job] = None
--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -29,6 +29,8 @@
 YIELD_HOLDS = 3.0
 """A node that made way stands again only after so many holds: the others go first."""
 WATCH_S: Seconds = 20.0
+SEASON_S: Seconds = 10.0
+"""A leader's own word goes back to before now once it has led for so long."""
 
 
 class Term(Protocol):
@@ -65,6 +67,8 @@
         self._entitle = entitle
         self._new_era = new_era
         self._compose = compose
+        self.seasoned = False
+        """Somebody has led since this process began."""
         self._leading = False
         self._end_wait: Callable[[], None] = lambda: None
         self._nudged: Deferred[Events | None] | None = None
@@ -144,6 +148,7 @@
                 await self._store.end_hold(item.hold)
                 return
         self._made_way_in_vain = False
+        self.seasoned = True
         await self._await_vacancy(Mark(item.mark))
 
     def prepare(self) -> None:
@@ -267,10 +272,14 @@
 
     def _take_office(self, mark: Mark, token: Token) -> None:
         log.info("leads with token %d", token)
+        self._clock.callLater(SEASON_S, self._season, token)
         self.token = token
         self._seen = (self._record.node, token)
         self._term = self._begin_term(token)
 
+    def _season(self, token: Token) -> None:
+        self.seasoned = self.seasoned or self.token == token
+
     async def _begin_era(self, mark: Mark) -> None:
         """Elected on a store that has lost data: under our key a new era begins, or we make room."""
         try:
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -34,6 +34,10 @@
     era: int | None = None
     """The era it is in, and whether it has proof that the state service lost data in it."""
     era_lost: bool = False
+    era_lost_before: bool = False
+    """The loss is older than what it followed."""
+    seasoned: bool = False
+    """It has seen somebody lead since its process began, so what it knows goes back to before now."""
     highest: Token = Token(0)
     """The highest token it has seen anywhere."""
     followed: Mark = Mark(0)
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -104,12 +104,18 @@
         follower: Follower | None = None,
         hints: Hints | None = None,
         rebuild: Rebuild | None = None,
+        cold: bool = False,
     ) -> None:
+        """`cold`: nobody here knows what was before, so only the machines can tell whether the store still does."""
+        self._cold = cold
         self._rebuild = rebuild
         self._back: WriteBack | None = None
         self._doubted: set[MachineId] = set()
         """Machines that may run tasks which no record tells of, as the last of them was lost."""
         self._list_awaited = False
+        self._asked: set[JobId] = set()
+        self._ended_here: set[JobId] = set()
+        """Jobs known to be over though no picture says so."""
         self._follower = follower
         self._hints = hints
         self._clock: Clock = reactor
@@ -240,6 +246,11 @@
         self.loaded = True
         if self._rebuild is not None and self._merged is not None:
             self._write_back(self._rebuild, self._merged)
+        elif self._cold and self._rebuild is not None:
+            # All nodes ended. If the store lost its last minutes meanwhile, a machine runs what no record tells of.
+            self._doubted = {m.id for m in self.roster.machines.values() if m.addr is not None}
+            for name in self._doubted:
+                self.roster.machines[name].presumed_at = self.now
         log.info(
             "term %d: %d open jobs, %d machines, %d placements, %s, %s",
             self.token,
@@ -347,11 +358,44 @@
             name = TaskId.parse(task.task)
             job = self.book.jobs.get(name.job)
             gone = task.state is wm.TaskState.EXITED
-            if job is None and not self._known_to_be_over(name.job) and self._rebuild.unsettled():
+            if job is None and not self._over(name.job) and self._rebuild.unsettled():
                 machine.unclaimed.append(task)
             elif job is None or name.number >= job.spec.tasks or not self._adopt(machine, job, name, task):
                 (machine.exited if gone else machine.strays).append(task)
 
+    def _see_beyond(self, machine: Machine) -> None:
+        """Whatever runs was stored before it was started. A machine that has our token and shows an attempt that is
+        beyond its record, or a job of which there is none, proves that records were lost."""
+        for task in (*machine.strays, *machine.exited):
+            name = TaskId.parse(task.task)
+            job = self.book.jobs.get(name.job)
+            if job is not None and (name.number >= job.spec.tasks or job.done[name.number]):
+                continue
+            if job is not None and task.attempt > job.attempts[name.number]:
+                self._lost(f"attempt {task.attempt} of task {name} on {machine.id} is on no record", True)
+                return
+            if job is None and self._rebuild is not None and name.job not in self._asked and not self._over(name.job):
+                self._asked.add(name.job)
+                machine.strays = [one for one in machine.strays if one is not task]
+                Deferred.fromCoroutine(self._ask_about(name.job, machine))
+
+    def _over(self, job: JobId) -> bool:
+        return job in self._ended_here or self._known_to_be_over(job)
+
+    async def _ask_about(self, job: JobId, machine: Machine) -> None:
+        """A job runs that we don't know: over, just come, or lost?"""
+        try:
+            if await self._store.get(jm.ended_key(job), Urgency.PLACEMENT) is not None:
+                self._ended_here.add(job)
+                machine.shown = None
+            elif not await self._store.compare(
+                [sm.Condition(jm.open_key(job), Mark(0)), sm.Condition(jm.ended_key(job), Mark(0))], Urgency.PLACEMENT
+            ):
+                self._lost(f"job {job}, which {machine.id} runs, is on no record", True)
+        except (Unavailable, Unknown, Refused) as error:
+            log.debug("job %s on %s is not known: %s", job, machine.id, error)
+        self._asked.discard(job)
+
     def _unsettled(self) -> bool:
         return self._rebuild is not None and self._rebuild.unsettled()
 
@@ -606,8 +650,11 @@
         if machine.up and self.view.silent(machine):
             machine.silent_until = self.now
         outcomes = self.roster.apply(machine, report, self.now)
-        if outcomes is not None and (machine.strays or machine.exited) and self._unsettled():
-            self._claim(machine)
+        if outcomes is not None and (machine.strays or machine.exited):
+            if self._unsettled():
+                self._claim(machine)
+            else:
+                self._see_beyond(machine)
         if machine.confirmed and not was_confirmed:
             self._cleared(machine.id)
         if machine.addr != had_addr or not machine.stored:
@@ -700,6 +747,7 @@
                 self._back.stored(change.key)
 
     def _ended(self, job: Job) -> None:
+        self._ended_here.add(job.id)
         self.health.forget_job(job)
         self._giving_way.forget(job.id)
         if self._outlooks is not None:
@@ -774,8 +822,6 @@
             item = await self._store.get(key, Urgency.PLACEMENT)
             if self._stopped:
                 return
-            if self._follower is not None:
-                self._follower.found(key, item)
             if key == LEADER_KEY:
                 if item is None or item.mark != self._leader_condition.mark:
                     self._election.stand_down("the leader key is no longer ours")
@@ -803,11 +849,14 @@
                     self.book.remove(known.id)
             elif self._back is not None and item is not None:
                 self._back.stored(key)
+            if self._follower is not None:
+                # Only now: what is gone without our doing was lost, and our picture still has it.
+                self._follower.found(key, item)
 
-    def _lost(self, why: str) -> None:
+    def _lost(self, why: str, old: bool = False) -> None:
         """Proof that the store lost data: versions only grow, and only we move jobs away."""
         if self._rebuild is not None:
-            self._rebuild.eras.lost(why)
+            self._rebuild.eras.lost(why, old)
 
     # Placing
 
--- a/meadowcross/rebuild/era.py
+++ b/meadowcross/rebuild/era.py
@@ -65,6 +65,8 @@
         self.why = ""
         self.highest = Token(0)
         """The highest token seen anywhere: on workers, in peers' beats, in snapshots."""
+        self.old = False
+        """The loss is older than anything that this node, or who told it, has followed."""
         self.fresh = False
         """We began the era on an empty store, and nothing has shown yet that there was none before."""
         self._doubted = False
@@ -91,11 +93,12 @@
 
     # What was noticed
 
-    def lost(self, why: str) -> None:
-        """Proof that data was lost: hold still until a rebuild has a leader."""
+    def lost(self, why: str, old: bool = False) -> None:
+        """Proof that data was lost: hold still until a rebuild has a leader. `old`: before this node followed, so
+        that what it knows is no more than the store has."""
         if self.state not in (State.WHOLE, State.REBUILDING):
             return
-        self.state, self.why = State.LOST, why
+        self.state, self.why, self.old = State.LOST, why, old
         log.error("the state service has lost data: %s", why)
         self._on_lost(why)
 
@@ -105,10 +108,10 @@
     def token_seen(self, token: Token) -> None:
         self.highest = max(self.highest, token)
 
-    def told_lost(self, number: int, node: str) -> None:
+    def told_lost(self, number: int, node: str, old: bool) -> None:
         """A peer has proof for the era that we are in."""
         if self.record is not None and self.record.number == number:
-            self.lost(f"{node} has noticed it")
+            self.lost(f"{node} has noticed it", old)
 
     # What it is now
 
@@ -184,7 +187,7 @@
         if oldest is None:
             return
         if oldest > self._clock.seconds() - self._began + OLDER_S:
-            self.lost(f"it is empty, and the cloud lists a machine rented {oldest:.0f} s ago")
+            self.lost(f"it is empty, and the cloud lists a machine rented {oldest:.0f} s ago", True)
         self.fresh = False
 
     # For a leader
--- a/meadowcross/rebuild/gather.py
+++ b/meadowcross/rebuild/gather.py
@@ -107,14 +107,14 @@
         if former is not None:
             items = {item.key: item for item in former.picture.entries()}
             sources.append(Source(self._node, former.era, former.picture.revision, former.whole, items))
-        if not any(source.whole for source in sources):
+        if not self.eras.old and not any(source.whole for source in sources):
             # A leader's own picture lacks nothing that was stored; nobody else can add to it.
             for peer in self._peers():
                 source = await of_peer(self._clock, self._ask, peer)
                 if source is not None:
                     sources.append(source)
         left, revision = await self._store.list("", Urgency.LEADERSHIP)
-        merged = merge(sources, left, self.eras.mark)
+        merged = merge(sources, left, self.eras.mark, self.eras.old)
         log.info(
             "gathered from %s and %d keys left in the store: %d keys, %d of them to write back",
             ", ".join(merged.sources) or "nobody", len(left), len(merged.items), len(merged.missing("")),
--- a/meadowcross/rebuild/merge.py
+++ b/meadowcross/rebuild/merge.py
@@ -63,8 +63,9 @@
         return [key for key in self.there if key not in self.items and key not in OF_THE_ERA]
 
 
-def merge(sources: Iterable[Source], store: Iterable[Item], era_mark: Mark) -> Merged:
-    """`era_mark` is the version of the new era's record: what the store got later is of the new era."""
+def merge(sources: Iterable[Source], store: Iterable[Item], era_mark: Mark, old: bool = False) -> Merged:
+    """`era_mark` is the version of the new era's record: what the store got later is of the new era. `old`: the store
+    was written to for a while since the loss, with versions that the sources know for others: all of it is kept."""
     merged = Merged()
     known: dict[str, Item] = {}
     ordered = sorted(sources, key=lambda source: (source.era, source.whole, source.revision), reverse=True)
@@ -88,7 +89,7 @@
         if item.mark > era_mark:
             known[item.key] = item
         else:
-            _take(known, item.key, item, base if ordered else Mark(0))
+            _take(known, item.key, item, base if ordered and not old else Mark(0))
     _settle(known, {item.key for item in left if item.mark > era_mark})
     merged.items = {key: item for key, item in known.items() if key not in OF_THE_ERA}
     return merged
--- a/meadowcross/replica/follower.py
+++ b/meadowcross/replica/follower.py
@@ -68,6 +68,7 @@
         self._wrote_at = Instant(0.0)
         self._resumed: Deferred[None] | None = None
         self.former: Former | None = None
+        self._read_at = Instant(0.0)
         self._own = False
         """The picture is that of our own last term, not read since."""
         self.read_again = 0
@@ -123,6 +124,7 @@
             return
         picture.read(items, revision)
         self.picture, self._own = picture, False
+        self._read_at = self.now
         self._become(State.WARM, "read")
         self._check_size()
 
@@ -161,6 +163,10 @@
             self.picture = Picture()
             self._become(State.OFF, f"it would take more than {self._most_bytes // 2**20} MB")
 
+    def long_since(self, seconds: Seconds) -> bool:
+        """Whether the picture goes back at least so far."""
+        return self.state in (State.WARM, State.LEADING) and self.now - self._read_at >= seconds
+
     def let_go(self, why: str) -> None:
         """The picture can't be relied on: read anew before it is used again."""
         if self.state in (State.WARM, State.LEADING):
@@ -249,8 +255,9 @@
                 self.picture.drop(key, Mark(known.mark + 1))
 
     def accepted(self, key: str, value: Raw, mark: Mark) -> None:
-        """This node stored something for a user; the feed will tell it again. Nobody else may know it yet."""
-        if self.state in (State.WARM, State.LEADING):
+        """This node stored something for a user; the feed will tell it again. Nobody else may know it yet. Where the
+        feed was faster it has told already what became of it."""
+        if self.state in (State.WARM, State.LEADING) and mark > self.picture.revision:
             self.picture.put(key, value, mark)
 
     def followed(self) -> Mark:
@@ -276,10 +283,14 @@
             self._become(State.COLD, "the term is over")
             self._resume()
 
-    def lose(self, era: int) -> None:
-        """The store has lost data in this era: what was followed is kept as it is, and nothing follows."""
+    def lose(self, era: int, old: bool) -> None:
+        """The store has lost data in this era: what was followed is kept as it is, and nothing follows. `old`: the
+        loss came before, so the picture is of what was left."""
         if self.state in (State.OFF, State.FROZEN):
             return
+        if old:
+            self._become(State.FROZEN, "the state service lost data before it was followed")
+            return
         own = self.state is State.LEADING or (self.state is State.COLD and self._own)
         if self.former is None or own:
             self.former = Former(self.picture, era, own)
