--- a/lab/world.py
+++ b/lab/world.py
@@ -111,7 +111,7 @@
 
     def boot(self, name: str) -> None:
         reactor = self.simulation.boot(self.simulation.hosts[name])
-        node = self.nodes[name] = Node(reactor, self.settings(name), Operator(**self.scenario.operator))
+        node = self.nodes[name] = Node(reactor, self.settings(name), Operator(**self.scenario.operator))  # type: ignore[arg-type]
         node.start()
 
     def leader(self) -> str | None:
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -4,10 +4,11 @@
 
 import argparse
 import gc
+import logging
 import os
 import sys
 import uuid
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import meadowcross
 from meadowcross.common import logging as node_logging
@@ -21,6 +22,10 @@
     load_settings,
 )
 
+if TYPE_CHECKING:
+    from meadowcross.rebuild.merge import Source
+    from meadowcross.replica.follower import Follower
+
 GC_OBJECTS, GC_TIMES = 100_000, 50
 PREPARE_S = 30.0
 LONG_S = 300.0
@@ -125,7 +130,7 @@
         follower = self.follower
         self.eras = Eras(
             reactor, self.store, lambda why: on_loss(why), lambda: follower.thaw() if follower is not None else None,
-            cloud.oldest,
+            cloud.oldest, self._floor,
         )  # fmt: skip
         eras = self.eras
         self._teller: Teller | None = None
@@ -308,7 +313,7 @@
         self.audit = Audit(reactor, self.store, eras, follower, our_audit) if follower is not None else None
         self.rebuild = Rebuild(
             reactor, self.store, eras, follower, node, lambda: [one.node for one in self.link.fresh_beats()],
-            self.link.ask_picture, lambda: [], operator.lost_wait_s or None,
+            self.link.ask_picture, self._snapshots, operator.lost_wait_s or None,
         )  # fmt: skip
         self.standby = (
             Standby(
@@ -343,6 +348,21 @@
         import meadowcross.estimates.keeper
         import meadowcross.leadership.outlook  # noqa: F401
 
+    def _snapshots(self) -> list[Source]:
+        """What the directory of snapshots gives for a rebuild; nothing where none is named."""
+        if not self._operator.snapshot_directory:
+            return []
+        from meadowcross.snapshots import files
+
+        source, refused = files.read(self._operator.snapshot_directory)
+        for text in refused:
+            logging.getLogger("snapshots").error("not used: %s", text)
+        return [source] if source is not None else []
+
+    def _floor(self) -> tuple[int, int]:
+        """The state service has been at least so far: era and revision."""
+        return max(((source.era, int(source.revision)) for source in self._snapshots()), default=(0, 0))
+
     def _tell(self) -> None:
         """What only the leader knows, to its peers; behind everything else, and bounded."""
         term, teller = self.term, self._teller
@@ -352,6 +372,21 @@
         if hints is not None:
             self.link.tell(teller.next(hints))
 
+    def _write_snapshots(self, follower: Follower) -> None:
+        from twisted.internet.defer import Deferred
+
+        from meadowcross.common.types import NodeName
+        from meadowcross.snapshots.writer import Writer
+
+        operator, eras = self._operator, self.eras
+        writer = Writer(
+            self._reactor, follower, NodeName(self._settings.host_name),
+            lambda: eras.record.number if eras.record is not None and eras.phase is None else None,
+            operator.snapshot_directory, operator.snapshot_every_s, int(operator.snapshot_keep),
+            operator.snapshot_keep_h * 3600.0,
+        )  # fmt: skip
+        Deferred.fromCoroutine(writer.run())
+
     async def leave(self, why: str) -> None:
         """Stop leading before this process ends, handing over where a peer is ready."""
         await self.election.leave(why)
@@ -373,6 +408,8 @@
         if self.follower is not None and self.audit is not None:
             Deferred.fromCoroutine(self.follower.run())
             Deferred.fromCoroutine(self.audit.run())
+            if self._operator.snapshot_directory:
+                self._write_snapshots(self.follower)
             telling = LoopingCall(self._tell)
             telling.clock = self._reactor
             telling.start(TELL_S, now=False)
--- a/meadowcross/cli.py
+++ b/meadowcross/cli.py
@@ -29,9 +29,11 @@
     run.set_defaults(act=_run)
     # Only the command's own options: what it needs is imported when it is carried out.
     from meadowcross.estimates import cli as estimates
+    from meadowcross.snapshots import cli as snapshots
     from meadowcross.tickets import cli as tickets
 
     estimates.add(commands.add_parser("estimates", help="learned run times: replay, show, reset"))
+    snapshots.add(commands.add_parser("snapshot", help="snapshots of the state service: list, verify, restore"))
     tickets.add(commands.add_parser("ticket", help="render-farm job tickets: check, explain, submit, status, cancel"))
     tickets.add_keys(commands.add_parser("keys", help="a site's own authority: init, issue, list, revoke"))
     tickets.add_service(commands.add_parser("tickets", help="the ticket gateway: serve"))
--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import os
 import tomllib
 from collections.abc import Collection
 from typing import Annotated, Any, NamedTuple
@@ -155,6 +156,11 @@
     learned_estimates: float = 0.0
     warm_standby: float = 2.0
     lost_wait_s: float = 120.0
+    snapshot_every_s: float = 60.0
+    snapshot_keep: float = 5.0
+    snapshot_keep_h: float = 48.0
+    snapshot_directory: str = ""
+    """Absolute; empty: no snapshots."""
 
 
 BOUNDS = {
@@ -178,6 +184,9 @@
     "learned_estimates": Bound("0: off, 1: learned and told, 2: used as well; a whole number", 0, 2, whole=True),
     "warm_standby": Bound("0: off, 1: follows, 2: ends a dead leader's hold as well; a whole number", 0, 2, whole=True),
     "lost_wait_s": Bound("seconds; 0: for ever", 0, 86400),
+    "snapshot_every_s": Bound("seconds", 1, 86400),
+    "snapshot_keep": Bound("full snapshots; a whole number", 1, 1000, whole=True),
+    "snapshot_keep_h": Bound("hours", 0.01, 87600),
 }
 
 
@@ -221,7 +230,13 @@
     """Read the XML file; refuse what is unknown, out of bounds or declares entities."""
     root = read_xml(path, "meadowcross")
     values: dict[str, float] = {}
-    for name, text in plain_values(path, root, BOUNDS).items():
+    directory = ""
+    for name, text in plain_values(path, root, {*BOUNDS, "snapshot_directory"}).items():
+        if name == "snapshot_directory":
+            if not os.path.isabs(text):
+                raise SettingsError(f"{path}: element <snapshot-directory>: expected an absolute path")
+            directory = text
+            continue
         bound = BOUNDS[name]
         tag = name.replace("_", "-")
         expected = f"{bound.unit} {'above' if bound.low_excluded else 'from'} {bound.low:g} to {bound.high:g}"
@@ -233,7 +248,7 @@
         if not fits or (bound.whole and value != int(value)):
             raise SettingsError(f"{path}: element <{tag}>: expected {expected}")
         values[name] = value
-    operator = Operator(**values)
+    operator = Operator(**values, snapshot_directory=directory)
     if abs(operator.alpha + operator.beta - 1.0) > 1e-9:
         raise SettingsError(f"{path}: elements <alpha> and <beta>: expected to sum to 1")
     return operator
--- a/meadowcross/estimates/cli.py
+++ b/meadowcross/estimates/cli.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from meadowcross.common.settings import Settings
     from meadowcross.store.client import StoreClient
     from meadowcross.store.messages import Item
 
@@ -132,34 +131,6 @@
 
 
 def _with_store(config: str, work: Any) -> int:
-    """Do some work with the state service that a node's settings name, within the small share
-    of its limits that a node has which does not lead."""
-    from meadowcross.common.once import run_now
-    from meadowcross.common.settings import SettingsError, load_settings
-    from meadowcross.store.client import Conflicted, Refused, Unavailable, Unknown
-
-    try:
-        settings = load_settings(config)
-    except SettingsError as error:
-        _say(str(error))
-        return 2
-    try:
-        run_now(_connected(settings, work))
-    except (Unavailable, Unknown, Refused) as error:
-        _say(f"the state service at {settings.outside.state} gives no answer: {error}")
-        return 2
-    except Conflicted as error:
-        _say(f"changed meanwhile, run it again: {error}")
-        return 2
-    return 0
-
-
-async def _connected(settings: Settings, work: Any) -> None:
-    from twisted.internet import reactor
-
-    from meadowcross.common.http import HttpClient
-    from meadowcross.common.types import Address
-    from meadowcross.store.client import StoreClient
+    from meadowcross.store.by_hand import with_store
 
-    clock: Any = reactor
-    await work(StoreClient(clock, HttpClient(clock), Address(settings.outside.state), settings.facts.state))
+    return with_store("meadowcross estimates", config, work)
--- a/meadowcross/rebuild/era.py
+++ b/meadowcross/rebuild/era.py
@@ -49,9 +49,11 @@
         on_lost: Callable[[str], None],
         on_whole: Callable[[], None],
         oldest_rental: Callable[[], Awaitable[Seconds | None]],
+        floor: Callable[[], tuple[int, int]] = lambda: (0, 0),
     ) -> None:
         """`oldest_rental` tells the age of the oldest machine that the cloud lists, 0 where it lists none, or None
-        without an answer."""
+        without an answer; `floor` the era and revision that the store is known to have reached, by a snapshot."""
+        self._floor = floor
         self._on_whole = on_whole
         self._oldest_rental = oldest_rental
         self._began = 0.0
@@ -158,7 +160,17 @@
         progress = await self._store.get(PROGRESS_KEY, Urgency.LEADERSHIP)
         self.progress = decode_progress(progress.value) if progress is not None else None
         self.state = State.WHOLE if self.progress is None else State.REBUILDING
-        self._tell_whole()
+        if known is None:
+            await self._compare_floor(record.number)
+        if not self.is_lost():
+            self._tell_whole()
+
+    async def _compare_floor(self, number: int) -> None:
+        """At our start: a snapshot of later than what the store holds proves a loss that nobody saw."""
+        floor = self._floor()
+        revision = (await self._store.page("", 1)).revision
+        if (number, revision) < floor:
+            self.lost(f"a snapshot has era {floor[0]}, revision {floor[1]}; it is at {number}, {revision}", True)
 
     def _tell_whole(self) -> None:
         """All that was known is back: pictures of before the loss are no longer needed."""
@@ -178,6 +190,7 @@
         self.record, self.state = record, State.WHOLE
         self.fresh = not page.items
         self._began = self._clock.seconds()
+        await self._compare_floor(0)
         log.info("era 0 begins on %s store", "an empty" if self.fresh else "an earlier version's")
 
     async def _prove_new(self) -> None:
@@ -208,7 +221,7 @@
         if there is not None and there.number > known:
             await self.look()
             return self.token(mark)
-        number = max(known, others, era_of(self.highest), there.number if there is not None else 0) + 1
+        number = max(known, others, era_of(self.highest), self._floor()[0], there.number if there else 0) + 1
         record = EraRecord(number, uuid.uuid4().hex)
         progress = Progress(number, Stage.OPEN)
         self.mark = await self._store.transact_bare(
--- /dev/null
+++ b/tests/test_rebuild.py
@@ -0,0 +1,352 @@
+"""A state service that lost data: noticed, held still for, rebuilt; by tables, and with several nodes in the lab."""
+
+from __future__ import annotations
+
+import gzip
+import os
+
+import msgspec
+import pytest
+from msgspec import Raw
+from twisted.internet.defer import Deferred
+
+from lab.scenario import Fault, load
+from lab.world import Lab
+from meadowcross.cli import main as command
+from meadowcross.common.types import Mark, NodeName, Token, era_of, mark_of, token_of
+from meadowcross.rebuild.era import Eras, State
+from meadowcross.rebuild.merge import Source, merge
+from meadowcross.snapshots import files
+from meadowcross.store.budget import Urgency
+from meadowcross.store.client import StoreClient, Unavailable
+from meadowcross.store.messages import Condition, Item, Put, raw
+from tests.test_lab import EXAMPLES
+
+# Tokens
+
+
+@pytest.mark.parametrize("era", [0, 1, 7, 2**23])
+def test_tokens_grow_with_eras_and_within_them(era):
+    token = token_of(era, Mark(412))
+    assert (era_of(token), mark_of(token)) == (era, 412) and token < 2**64
+    assert token < token_of(era, Mark(413)) < token_of(era + 1, Mark(1))
+    assert token_of(0, Mark(412)) == 412, "a cluster of the version before goes on with its tokens"
+
+
+# Merging
+
+
+def items(**marks):
+    """Keys written with `_` for `/`; the value tells its version."""
+    named = {key.replace("_", "/"): mark for key, mark in marks.items()}
+    return {key: Item(key, Raw(b'"%d"' % mark), Mark(mark)) for key, mark in named.items()}
+
+
+def source(name, revision, era=0, whole=False, **marks):
+    return Source(NodeName(name), era, Mark(revision), whole, items(**marks))
+
+
+MERGES = [
+    # name, sources, left in the store, version of the new era's record, what it should hold, what must be written
+    ("all lost, one picture", [source("a", 9, j_x=3, w_m=4)], {}, 1, {"j/x": 3, "w/m": 4}, {"j/x", "w/m"}),
+    ("the newer version of two", [source("a", 9, j_x=3), source("b", 7, j_x=2)], {}, 1, {"j/x": 3}, {"j/x"}),
+    ("who was cut off undoes no drop", [source("a", 9, j_x=3), source("b", 5, j_x=3, j_y=4)], {}, 1,
+     {"j/x": 3}, {"j/x"}),
+    ("who is ahead of the base adds", [source("a", 9, j_x=3), source("b", 8, j_x=3, j_z=12)], {}, 1,
+     {"j/x": 3, "j/z": 12}, {"j/x", "j/z"}),
+    ("an end is kept whoever knows it", [source("a", 9, j_x=3), source("b", 5, e_y=4)], {}, 1,
+     {"j/x": 3, "e/y": 4}, {"j/x", "e/y"}),
+    ("what ended is open no more", [source("a", 9, e_x=8), source("b", 5, j_x=3, **{"t_x_00000": 4})], {}, 1,
+     {"e/x": 8}, {"e/x"}),
+    ("tasks without their job are dropped", [source("a", 9, **{"t_x_00000": 4})], {}, 1, {}, set()),
+    ("what came back older", [source("a", 9, j_x=8, **{"t_x_00000": 9})], items(j_x=8, **{"t_x_00000": 5}), 20,
+     {"j/x": 8, "t/x/00000": 9}, {"t/x/00000"}),
+    ("one key gone", [source("a", 9, j_x=8, w_m=2)], items(j_x=8), 20, {"j/x": 8, "w/m": 2}, {"w/m"}),
+    ("came back though it was dropped", [source("a", 9, j_x=8)], items(j_x=8, j_y=3), 20, {"j/x": 8}, set()),
+    ("the store is ahead of every picture", [source("a", 9, j_x=8)], items(j_x=8, j_y=11), 20,
+     {"j/x": 8, "j/y": 11}, set()),
+    ("written in the new era", [source("a", 9, j_x=8)], items(j_x=25), 20, {"j/x": 25}, set()),
+    ("nobody knows anything", [], items(j_x=8), 20, {"j/x": 8}, set()),
+    ("of an older era only ends count", [source("a", 4, era=1, j_x=3), source("b", 90, j_x=80, j_y=81, e_z=82)], {}, 1,
+     {"j/x": 3, "e/z": 82}, {"j/x", "e/z"}),
+    ("a leader's own picture is the base", [source("a", 9, j_x=3, j_y=4), source("b", 7, whole=True, j_x=3)], {}, 1,
+     {"j/x": 3}, {"j/x"}),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("sources", "left", "era_mark", "holds", "writes"), [m[1:] for m in MERGES],
+                         ids=[m[0] for m in MERGES])  # fmt: skip
+def test_pictures_are_merged_by_version(sources, left, era_mark, holds, writes):
+    left = left or {}
+    merged = merge(sources, left.values(), Mark(era_mark))
+    assert {key: item.mark for key, item in merged.items.items()} == holds
+    assert {item.key for item in merged.missing("")} == writes
+    assert set(merged.stale()) == {key for key in left if key not in holds}
+    again = merge(reversed(sources), left.values(), Mark(era_mark))
+    assert again.items == merged.items, "the order in which they come is no matter"
+
+
+# Noticing
+
+
+def eras_of(world, rented=0.0):
+    store = StoreClient(world.clock, world.net, "state:1", world.settings.facts.state)
+    lost = []
+
+    async def oldest():
+        return rented
+
+    eras = Eras(world.clock, store, lost.append, lambda: None, oldest)
+    Deferred.fromCoroutine(eras.run())
+    world.pass_time(1.0)
+    return eras, store, lost
+
+
+def put(world, store, key, mark=0):
+    return world.run(store.transact([Condition(key, Mark(mark))], [Put(key, raw(1))], Urgency.USER))
+
+
+def wipe(world):
+    world.state.keys, world.state.revision, world.state.log = {}, 0, []
+
+
+def go_back(world, revisions):
+    """As it was so many revisions ago; every change is of a key of its own here."""
+    world.state.revision -= revisions
+    world.state.keys = {k: v for k, v in world.state.keys.items() if v["mark"] <= world.state.revision}
+
+
+HARMS = [
+    ("everything is gone", wipe, True),
+    ("the last two changes are gone", lambda world: go_back(world, 2), True),
+    ("the era's record is gone", lambda world: world.state.keys.pop("era"), True),
+    ("nothing", lambda world: None, False),
+    ("an outage", lambda world: setattr(world.state, "outage", True), False),
+    ("an answer is lost", lambda world: world.net.faults.append(("state:1/multi", "lose")), False),
+    ("a transaction is applied late", lambda world: world.net.faults.append(("state:1/multi", "late")), False),
+    ("this node is refused", lambda world: world.net.faults.append(("state:1/multi", "refuse")), False),
+]
+
+
+@pytest.mark.parametrize(("harm", "noticed"), [h[1:] for h in HARMS], ids=[h[0] for h in HARMS])
+def test_a_loss_is_noticed_by_the_next_request_and_nothing_else_is_taken_for_one(world, harm, noticed):
+    eras, store, lost = eras_of(world)
+    for number in range(5):
+        put(world, store, f"j/{number}")
+    harm(world)
+    outcome = world.run(store.transact([Condition("j/new", Mark(0))], [Put("j/new", raw(1))], Urgency.USER), 4.0)
+    world.pass_time(1.0)
+    assert (eras.state is State.LOST) is noticed and bool(lost) is noticed
+    if noticed:
+        assert eras.closed() is not None
+        refused = world.run(store.compare([Condition("j/0", Mark(9))]))
+        assert refused.check(Unavailable)
+        # Also what was written before it was noticed was refused, where the era's record was gone.
+        assert outcome.check(Unavailable) if "era" not in world.state.keys else True
+
+
+def test_answers_that_overtake_each_other_are_no_loss(world):
+    _, store, lost = eras_of(world)
+    then = store._seen()
+    put(world, store, "j/a")
+    store._note(then, Mark(world.state.revision - 1))
+    assert lost == []
+    store._note(store._seen(), Mark(world.state.revision - 1))
+    assert len(lost) == 1
+
+
+@pytest.mark.parametrize(("rented", "noticed"), [(0.0, False), (3.0, False), (300.0, True)])
+def test_an_empty_store_with_old_machines_is_no_new_cluster(world, rented, noticed):
+    eras, _, lost = eras_of(world, rented)
+    assert bool(lost) is noticed and eras.old is noticed and not eras.fresh
+
+
+def test_an_earlier_versions_store_is_taken_over_without_a_pause(world):
+    world.state.transact({"if": [], "writes": [{"write": "j/old", "data": 1}]})
+    eras, _, lost = eras_of(world, 300.0)
+    assert eras.state is State.WHOLE and not lost and eras.token(Mark(7)) == 7
+    eras.token_seen(Token(9))
+    assert eras.token(Mark(8)) is None and eras.token(Mark(10)) == 10
+
+
+# Snapshots
+
+
+def written(directory, *states):
+    """Snapshots of states that follow each other: a full one, then changes."""
+    last: dict[str, int] = {}
+    before = 0
+    for revision, state in states:
+        manifest = files.Manifest(
+            files.KIND, files.FORMAT, 0, Mark(revision), Mark(before), 0, 0, "", NodeName("n0"), 100.0
+        )
+        lines = [files.Line(k, Mark(m), Raw(b"%d" % m)) for k, m in state.items() if last.get(k) != m]
+        lines += [files.Line(k, Mark(revision), dropped=True) for k in last if k not in state]
+        files.write(str(directory), manifest, lines, 10**6)
+        last, before = dict(state), revision
+    return str(directory)
+
+
+def spoil(path, act):
+    with open(path, "rb") as file:
+        content = file.read()
+    with open(path, "wb") as file:
+        file.write(act(content))
+
+
+FIRST, SECOND, THIRD = {"j/x": 3, "w/m": 4}, {"j/x": 3, "e/y": 8}, {"j/x": 9, "e/y": 8}
+CHANGES = "000000-000000000008-changes-000000000005"
+LAST = "000000-000000000009-changes-000000000008"
+FULL = "000000-000000000005-full"
+
+
+def manifest_of(change):
+    return lambda content: msgspec.json.encode(msgspec.json.decode(content) | change)
+
+
+SPOILED = [
+    # name, file, what is done to it, what holds then, what is said
+    ("none", None, None, THIRD, None),
+    ("torn", LAST + files.DATA, lambda c: c[:-9], SECOND, "torn"),
+    ("a bit turned", LAST + files.DATA, lambda c: c[:-9] + bytes([c[-9] ^ 1]) + c[-8:], SECOND, "checksum"),
+    ("in the middle of the chain", CHANGES + files.DATA, lambda c: c[:-1], FIRST, "torn"),
+    ("its manifest is broken", CHANGES + files.MANIFEST, lambda c: c[: len(c) // 2], FIRST, "manifest is broken"),
+    ("foreign", LAST + files.MANIFEST, manifest_of({"kind": "photo album"}), SECOND, "foreign"),
+    ("of a newer format", LAST + files.MANIFEST, manifest_of({"format": 9}), SECOND, "newer format"),
+    ("another's manifest", LAST + files.MANIFEST, manifest_of({"revision": 77}), SECOND, "another's"),
+    ("the full one is broken", FULL + files.DATA, lambda c: gzip.compress(b"{}"), None, "torn"),
+]
+
+
+@pytest.mark.parametrize(("file", "act", "holds", "said"), [s[1:] for s in SPOILED], ids=[s[0] for s in SPOILED])
+def test_what_is_wrong_with_a_snapshot_is_named_and_the_one_before_taken(tmp_path, capsys, file, act, holds, said):
+    directory = written(tmp_path, (5, FIRST), (8, SECOND), (9, THIRD))
+    if file is not None:
+        spoil(os.path.join(directory, file), act)
+    read = files.read(directory)
+    found = {key: item.mark for key, item in read.source.items.items()} if read.source is not None else None
+    assert found == holds
+    assert any(said in text for text in read.refused) if said else read.refused == []
+    status = command(["snapshot", "verify", "--directory", directory])
+    out = capsys.readouterr()
+    assert status == (2 if said else 0) and (said or "good up to revision 9") in out.err + out.out
+    assert command(["snapshot", "list", "--directory", directory]) == 0
+    assert len(capsys.readouterr().out.splitlines()) == 3
+
+
+def test_old_chains_go_and_the_newest_that_holds_stays(tmp_path):
+    for first in (10, 20, 30, 40):
+        written(tmp_path, (first, FIRST), (first + 1, SECOND))
+    assert files.remove_old(str(tmp_path), 2, 0.0) == 4
+    assert sorted(one.manifest.revision for one in files.found(str(tmp_path))) == [30, 31, 40, 41]
+    assert files.remove_old(str(tmp_path), 9, 1e9) == 2
+    assert [one.manifest.revision for one in files.found(str(tmp_path))] == [41, 40]
+
+
+def test_a_full_disk_or_too_large_a_snapshot_leaves_nothing_half_written(tmp_path, monkeypatch):
+    manifest = files.Manifest(files.KIND, 1, 0, Mark(5), Mark(0), 0, 0, "", NodeName("n0"), 1.0)
+    lines = [files.Line("j/x", Mark(3), Raw(b"1"))]
+    with pytest.raises(OSError, match="at most 10"):
+        files.write(str(tmp_path), manifest, lines, 10)
+
+    def full(file):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(files.os, "fsync", full)
+    with pytest.raises(OSError, match="No space"):
+        files.write(str(tmp_path), manifest, lines, 10**6)
+    assert os.listdir(tmp_path) == []
+
+
+# Several nodes, machines, users
+
+
+def lab(faults, seed=1, **operator):
+    scenario = load(str(EXAMPLES[0].parent / "loss.toml"))
+    scenario.duration_s = 80.0
+    scenario.faults = [msgspec.convert(fault, Fault) for fault in faults]
+    scenario.operator = operator
+    return Lab(scenario, seed)
+
+
+ALL = {"kind": "store_loss", "at_s": 30.1, "what": "all"}
+BACK = {"kind": "store_loss", "at_s": 30.1, "what": "back", "for_s": 12.0}
+KILL = {"kind": "node_kill", "node": "leader", "at_s": 30.0}
+LOSSES = [
+    # name, troubles, by when tasks are placed again
+    ("all is gone", [ALL], 1.0),
+    ("the last 12 s are gone", [BACK], 1.0),
+    ("placements are gone", [{"kind": "store_loss", "at_s": 30.1, "what": "prefix", "prefix": "t/"}], 1.0),
+    ("open jobs are gone", [{"kind": "store_loss", "at_s": 30.1, "what": "prefix", "prefix": "j/"}], 2.0),
+    ("ended jobs are gone", [{"kind": "store_loss", "at_s": 30.1, "what": "prefix", "prefix": "e/"}], 20.0),
+    ("three keys are gone", [{"kind": "store_loss", "at_s": 30.1, "what": "keys", "count": 3}], 20.0),
+    ("the era's record is gone", [{"kind": "store_loss", "at_s": 30.1, "what": "prefix", "prefix": "era"}], 2.0),
+    ("all is gone, with the leader", [KILL, ALL], 12.0),
+    ("in an outage", [{"kind": "store_outage", "at_s": 20.0, "for_s": 12.0}, ALL], 4.0),
+    ("again during the rebuild", [ALL, ALL | {"at_s": 30.25}], 12.0),
+    ("the rebuilding node is killed, twice",
+     [ALL, KILL | {"at_s": 30.2}, KILL | {"at_s": 32.6}], 15.0),
+    ("and machines die", [KILL, ALL, {"kind": "machine_die", "at_s": 30.5, "count": 5}], 15.0),
+    ("a stale node comes back", [
+        {"kind": "node_cut", "node": "n1", "apart": "all", "at_s": 15.0, "for_s": 20.0}, KILL, BACK], 15.0),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("faults", "within"), [x[1:] for x in LOSSES], ids=[x[0] for x in LOSSES])
+def test_a_loss_costs_no_task_and_no_job(faults, within):
+    world = lab(faults)
+    result = world.play()
+    assert result["broken"] == []
+    assert all(share >= 0.9 for share in result["served"].values())
+    placed = [t["dead_s"] + t["first_placement_s"] for t in result["takeovers"] if t["first_placement_s"] is not None]
+    assert any(30.1 < at < 30.1 + within for at in placed)
+    if not any(fault["kind"] == "machine_die" for fault in faults):
+        assert result["lost"] == 0
+    assert {node.eras.state for node in world.nodes.values()} <= {State.WHOLE, State.REBUILDING}
+
+
+def test_the_rebuild_is_gone_on_with_after_each_stored_step():
+    for step in range(1, 6):
+        world = lab([ALL])
+        world.simulation.run(30.12)
+        kill = {"kind": "kill_after_write", "at_s": 30.13, "count": step}
+        world.simulation.at(30.13, lambda kill=kill, world=world: world.strike(msgspec.convert(kill, Fault)))
+        result = world.play()
+        assert result["broken"] == [] and result["lost"] == 0, step
+
+
+def test_with_reports_alone_nothing_that_runs_is_killed_or_started_twice():
+    """All nodes end with the data, and nobody kept a snapshot: jobs that no machine runs are lost, and only those."""
+    world = lab([ALL, {"kind": "node_kill", "node": "all", "at_s": 30.0}])
+    result = world.play()
+    assert {one["rule"] for one in result["broken"]} <= {"forgotten", "went_back"}
+    assert result["lost"] == 0
+
+
+def test_a_snapshot_brings_back_what_no_node_knows_any_more(tmp_path):
+    world = lab(
+        [ALL | {"at_s": 31.0}, {"kind": "node_kill", "node": "all", "at_s": 31.0}],
+        snapshot_directory=str(tmp_path), snapshot_every_s=5.0,
+    )  # fmt: skip
+    world.simulation.run(30.9)
+    assert files.read(str(tmp_path)).source is not None
+    result = world.play()
+    assert result["lost"] == 0 and not any(one["rule"] == "ran_twice" for one in result["broken"])
+    # What was accepted after the last snapshot only its user knows.
+    later = {f"wk-{number:06d}" for number in range(24, 34)}
+    assert all(any(job in one["what"] for job in later) for one in result["broken"] if one["rule"] == "forgotten")
+    assert result["served"]["web"] == 1.0 and result["served"]["train"] == 1.0
+
+
+def test_false_alarms_stop_nothing():
+    """Slow, late, refused, away, cut off: none of it is a loss."""
+    world = lab([
+        {"kind": "store_slow", "at_s": 15.0, "for_s": 8.0, "factor": 40.0},
+        {"kind": "store_late", "at_s": 25.0, "for_s": 6.0, "count": 2},
+        {"kind": "store_refuses", "at_s": 34.0, "for_s": 6.0, "node": "leader"},
+        {"kind": "store_outage", "at_s": 45.0, "for_s": 6.0},
+        {"kind": "node_cut", "at_s": 55.0, "for_s": 8.0, "node": "follower", "apart": "store"},
+        KILL | {"at_s": 65.0},
+    ])  # fmt: skip
+    result = world.play()
+    assert result["broken"] == [] and {node.eras.record.number for node in world.nodes.values()} == {0}
