--- a/lab/services.py
+++ b/lab/services.py
@@ -43,6 +43,7 @@
         self._reactor = reactor
         self._facts = facts
         self._requests, self._writes = Bucket(facts.rps), Bucket(facts.write_rps)
+        self._looked_at = 0
         self._watches: list[tuple[str, dict[str, str], float, Deferred[Answer]]] = []
         self.slow = 1.0
         self.refused: set[str] = set()
@@ -83,26 +84,28 @@
                     del service.keys[key]
                 else:
                     service.keys[key] = before
-        self._look()
+        self._look(True)
 
     def _tick(self) -> None:
         """Holds end without a request, and watches run out."""
-        before = self.service.revision
         with self.service.lock:
             if not self.service.outage:
                 self.service.expire()
-        self._look(before != self.service.revision)
+        self._look()
         self._reactor.callLater(0.05, self._tick)
 
-    def _look(self, changed: bool = True) -> None:
-        """Answer the watches that something can be told to."""
+    def _look(self, new: bool = False) -> None:
+        """Answer the watches that something can be told to: `new` ones, or all where something has changed."""
         if self.service.outage:
             return
+        changed = new or self.service.revision != self._looked_at
+        self._looked_at = self.service.revision
         now = self._reactor.seconds()
         left = []
         for caller, query, until, answer in self._watches:
             with self.service.lock:
-                news = self.service.news(query) if changed and caller not in self.refused else None
+                look = (changed or now >= until) and caller not in self.refused
+                news = self.service.news(query) if look else None
             if news is None and now >= until:
                 news = (200, {"ledger": self.service.revision, "news": []})
             if news is None:
@@ -135,7 +138,7 @@
         if path == "/watch":
             wait = float(query.get("waitMs", 0)) / 1000
             self._watches.append((caller, query, now + wait, answer))
-            self._reactor.callLater(self._takes() / 2, self._look)
+            self._reactor.callLater(self._takes() / 2, self._look, True)
             return answer
         if path == "/multi" and self.late and any(str(w.get("write")).startswith("t/") for w in request["writes"]):
             self._reactor.callLater(self.late.pop(0), self._apply, caller, request, None)
@@ -150,8 +153,7 @@
     def _do(self, method: str, path: str, query: dict[str, str], body: bytes, answer: Deferred[Answer]) -> None:
         result = self.service.handle(method, path, query, body)
         self._reactor.callLater(self._takes() / 2, answer.callback, result)
-        if path.startswith("/holds"):
-            self._look()
+        self._look()
 
     def _apply(self, caller: str, request: dict[str, Any], answer: Deferred[Answer] | None) -> None:
         if self.service.outage:
@@ -163,7 +165,7 @@
         if result[0] == 200 and request["writes"]:
             self.written += len(request["writes"])
             told = self.on_written(caller, request)
-        self._look(bool(request["writes"]))
+        self._look()
         if answer is not None and told:
             self._reactor.callLater(self._takes() / 2, answer.callback, result)
 
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -283,7 +283,7 @@
 
         self.election = Election(
             reactor, self.store, node, life, operator.hold_s, begin_term, end_term, turn, successor, eras.token,
-            new_era, lambda mark: token_of(eras.record.number if eras.record is not None else 0, mark),
+            new_era, lambda mark: token_of(eras.record.number if eras.record is not None else 0, mark), eras.is_lost,
         )  # fmt: skip
 
         async def serve(operation: str, job: str, body: bytes) -> Answer:
@@ -314,6 +314,7 @@
         self.rebuild = Rebuild(
             reactor, self.store, eras, follower, node, lambda: [one.node for one in self.link.fresh_beats()],
             self.link.ask_picture, self._snapshots, operator.lost_wait_s or None,
+            [NodeName(peer.host_name) for peer in settings.peers],
         )  # fmt: skip
         self.standby = (
             Standby(
--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -29,6 +29,7 @@
 YIELD_HOLDS = 3.0
 """A node that made way stands again only after so many holds: the others go first."""
 WATCH_S: Seconds = 20.0
+DOUBT_S: Seconds = 1.0
 SEASON_S: Seconds = 10.0
 """A leader's own word goes back to before now once it has led for so long."""
 
@@ -61,12 +62,14 @@
         entitle: Callable[[Mark], Token | None] = lambda mark: Token(mark),
         new_era: Callable[[Mark], Awaitable[Token | None]] | None = None,
         compose: Callable[[Mark], Token] = lambda mark: Token(mark),
+        in_doubt: Callable[[], bool] = lambda: False,
     ) -> None:
         """`entitle` gives the token for a leader's key of ours, or None where `new_era` must begin one first;
         `compose` that of another's, as far as its era is known."""
         self._entitle = entitle
         self._new_era = new_era
         self._compose = compose
+        self._in_doubt = in_doubt
         self.seasoned = False
         """Somebody has led since this process began."""
         self._leading = False
@@ -201,10 +204,12 @@
         revision = since
         while True:
             try:
-                seen = await self._or_nudged(self._store.watch(LEADER_KEY, revision, WATCH_S))
+                wait = DOUBT_S if self._in_doubt() else WATCH_S
+                seen = await self._or_nudged(self._store.watch(LEADER_KEY, revision, wait))
             except WatchTooOld:
                 return
-            if seen is None:
+            if seen is None or self._in_doubt():
+                # A store that has lost data tells of no change: the key is read again.
                 return
             if any(event.key == LEADER_KEY for event in seen.events):
                 return
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -223,6 +223,8 @@
         self.fleet.stop()
         if self._tick.running:
             self._tick.stop()
+        if self._back is not None:
+            self._back.stop()
         if self._follower is not None:
             self._follower.led()
 
@@ -318,7 +320,7 @@
                 job.attempts = [attempt + ATTEMPTS_LOST for attempt in job.attempts]
             log.info("term %d: %d machines may run what no record tells of", self.token, len(self._doubted))
         self._back = WriteBack(
-            self._clock, rebuild.eras, merged, self.book, self.committer, rebuild.lost_wait_s, self.kick
+            self._clock, rebuild.eras, merged, self.book, self.committer, rebuild, self.kick, self._job_seen
         )
         for machine in self.roster.machines.values():
             # On record with all who followed: it may be offered before its key is back.
--- a/meadowcross/rebuild/audit.py
+++ b/meadowcross/rebuild/audit.py
@@ -19,8 +19,8 @@
 
 log = logger("rebuild")
 
-PACE_S: Seconds = 0.5
-"""Two requests a second at the most; open work first, so that all of it is asked for within some ten seconds."""
+PACE_S: Seconds = 1.0
+"""One request a second at the most; open work first, so that all of it is asked for within some ten seconds."""
 REST_S: Seconds = 5.0
 FAMILIES = ("j/", "t/", "w/", "e/")
 
--- a/meadowcross/rebuild/gather.py
+++ b/meadowcross/rebuild/gather.py
@@ -15,13 +15,14 @@
 from meadowcross.replica.follower import Follower
 from meadowcross.replica.picture import Picture
 from meadowcross.store.budget import Urgency
-from meadowcross.store.client import StoreClient
+from meadowcross.store.client import SHARE_OF_LEADER, StoreClient
 from meadowcross.store.messages import Item
 
 log = logger("rebuild")
 
 PART_BYTES = 128 * 1024
 """Of one answer, which fits a netstring of the link."""
+SHARE_OF_REBUILD = 0.8
 TRIES = 3
 AGAIN_S: Seconds = 0.3
 
@@ -44,8 +45,8 @@
     return part
 
 
-async def of_peer(clock: Clock, ask: AskPeer, peer: NodeName) -> Source | None:
-    """A peer's whole picture, piece by piece; None where it has none, or says no more."""
+async def of_peer(clock: Clock, ask: AskPeer, peer: NodeName) -> Source | str | None:
+    """A peer's whole picture, piece by piece; a word where it says that it has none, None where it says no more."""
     items: dict[str, Item] = {}
     after = ""
     while True:
@@ -59,7 +60,7 @@
             log.info("%s does not tell its picture", peer)
             return None
         if part.era is None:
-            return None
+            return "none"
         for key, mark, value in part.items:
             items[key] = Item(key, Raw(bytes(value)), mark)
             after = key
@@ -81,7 +82,11 @@
         ask: AskPeer,
         snapshots: Callable[[], list[Source]],
         lost_wait_s: Seconds | None,
+        all_peers: list[NodeName],
     ) -> None:
+        self._all_peers = all_peers
+        self._sources: list[Source] = []
+        self._unheard: set[NodeName] = set()
         self._clock = clock
         self._store = store
         self.eras = eras
@@ -99,6 +104,40 @@
         """Whether tasks of jobs that nobody knows may still be somebody's."""
         return self.eras.phase is not None
 
+    async def late(self, merged: Merged) -> Merged | None:
+        """Ask whom we could not ask before; with what they add, everything merged anew, or None without news. Raises
+        what the store client raises."""
+        before = len(self._sources)
+        await self._ask_unheard()
+        if len(self._sources) == before:
+            return None
+        left, _ = await self._store.list("", Urgency.LATER)
+        return merge(self._sources, left, self.eras.mark, self.eras.old)
+
+    @property
+    def unheard(self) -> set[NodeName]:
+        """Peers that may still know what nobody else does."""
+        return self._unheard
+
+    def hurry(self, on: bool) -> None:
+        """While much is written back, four fifths of the store's rate; else a leader's share."""
+        self._store.set_share(SHARE_OF_REBUILD if on else SHARE_OF_LEADER)
+
+    def all_told(self) -> bool:
+        """Whether every peer told what it had followed, so that nothing that users were told can be missing."""
+        told = {source.name for source in self._sources}
+        return all(peer in told for peer in self._all_peers)
+
+    async def _ask_unheard(self) -> None:
+        connected = set(self._peers())
+        for peer in sorted(self._unheard & connected):
+            found = await of_peer(self._clock, self._ask, peer)
+            if found is None:
+                continue
+            self._unheard.discard(peer)
+            if isinstance(found, Source):
+                self._sources.append(found)
+
     async def gather(self) -> tuple[Merged, Mark]:
         """Everything that is still known, and the revision of the store that it was compared with. Raises what
         the store client raises."""
@@ -107,12 +146,13 @@
         if former is not None:
             items = {item.key: item for item in former.picture.entries()}
             sources.append(Source(self._node, former.era, former.picture.revision, former.whole, items))
-        if not self.eras.old and not any(source.whole for source in sources):
-            # A leader's own picture lacks nothing that was stored; nobody else can add to it.
-            for peer in self._peers():
-                source = await of_peer(self._clock, self._ask, peer)
-                if source is not None:
-                    sources.append(source)
+        self._sources = sources
+        self._unheard = set()
+        if not self.eras.old:
+            # Also where a leader's own picture is there: it lacks nothing that leaders stored, but what users did
+            # at other nodes in the last moment only those may have seen.
+            self._unheard = set(self._all_peers)
+            await self._ask_unheard()
         left, revision = await self._store.list("", Urgency.LEADERSHIP)
         merged = merge(sources, left, self.eras.mark, self.eras.old)
         log.info(
--- a/meadowcross/rebuild/merge.py
+++ b/meadowcross/rebuild/merge.py
@@ -1,8 +1,8 @@
 """One truth out of several pictures and what is left in the store. Pure functions.
 
-Versions order everything within an era. The picture that is complete up to the highest revision is the base: what it
-lacks although it is older than that revision was dropped, whoever still has it. From the others only what is newer
-than the base's revision is taken. What was written to the store in the new era is newer than any picture; what is
+Versions order everything within an era. The picture that is complete up to the highest revision is the base: a machine
+that it lacks although it is older than that revision was dropped, whoever still has it; a job is over only where
+somebody knows its end. What was written to the store in the new era is newer than any picture; what is
 left there of the old era counts as one more source, by its versions.
 """
 
@@ -16,6 +16,7 @@
 from meadowcross.rebuild.messages import ERA_KEY, LEADER_KEY, PROGRESS_KEY
 from meadowcross.store.messages import Item
 
+OF_JOBS = (jm.OPEN, jm.CHUNKS, jm.ENDED)
 OF_THE_ERA = (LEADER_KEY, ERA_KEY, PROGRESS_KEY)
 
 
@@ -96,10 +97,12 @@
 
 
 def _take(known: dict[str, Item], key: str, item: Item, base: Mark) -> None:
-    """The newer of two; one that nobody else has only if the base can't have dropped it. An end is always kept."""
+    """The newer of two; one that nobody else has only if the base can't have dropped it. Jobs are always kept: an
+    open one only ever moves to its end, in one step, so one without an end anywhere was not dropped, whatever the
+    base's revision says: that may have been counted anew after the loss, before it was noticed."""
     before = known.get(key)
     if before is None:
-        if item.mark > base or key.startswith(jm.ENDED):
+        if item.mark > base or key.startswith(OF_JOBS):
             known[key] = item
     elif item.mark > before.mark:
         known[key] = item
--- a/meadowcross/rebuild/writeback.py
+++ b/meadowcross/rebuild/writeback.py
@@ -9,19 +9,25 @@
 
 from collections.abc import Callable
 
-from meadowcross.common.clock import Clock
+from msgspec import Raw
+from twisted.internet.defer import Deferred
+
+from meadowcross.common.clock import Clock, pause
 from meadowcross.common.logging import logger
 from meadowcross.common.types import JobId, Mark, Seconds, WallTime
 from meadowcross.jobs import messages as jm
 from meadowcross.jobs.book import Book
 from meadowcross.rebuild.era import Eras
+from meadowcross.rebuild.gather import Rebuild
 from meadowcross.rebuild.merge import Merged
 from meadowcross.rebuild.messages import PROGRESS_KEY, Progress, Stage
 from meadowcross.store import messages as sm
+from meadowcross.store.client import Refused, Unavailable, Unknown
 from meadowcross.store.commit import Built, Committer
 
 log = logger("rebuild")
 
+LATE_S: Seconds = 1.0
 AT_ONCE = 200
 """So many ended jobs wait in the group commit at a time: what is decided meanwhile goes before them."""
 
@@ -34,15 +40,19 @@
         merged: Merged,
         book: Book,
         committer: Committer,
-        lost_wait_s: Seconds | None,
+        rebuild: Rebuild,
         on_open: Callable[[], None],
+        on_late: Callable[[str, Raw, Mark], None],
     ) -> None:
+        """`on_late` is told of an open job that came back late, once it is stored."""
         self._clock = clock
         self._eras = eras
         self._merged = merged
         self._book = book
         self._committer = committer
-        self._lost_wait_s = lost_wait_s
+        self._rebuild = rebuild
+        self._on_late = on_late
+        self._stopped = False
         self._on_open = on_open
         self._left: set[str] = set()
         self._ended = {item.key: item for item in merged.missing("") if not item.key.startswith(_FIRST)}
@@ -50,12 +60,15 @@
         self._began = clock.seconds()
 
     def begin(self) -> None:
-        """Open jobs first: nothing is placed of a job whose record is not stored."""
+        """Open jobs first: nothing is placed of a job whose record is not stored. Users are told to come again
+        meanwhile, so more of the store's rate is ours than a leader has else."""
+        self._rebuild.hurry(True)
         missing = [item for family in _FIRST for item in self._merged.missing(family)]
         self._left = {item.key for item in missing}
         for item in missing:
             if not item.key.startswith(jm.CHUNKS):
-                self._add(item, True)
+                # Machines are known to all who followed; 600 of them before the first placement cost 6 s.
+                self._add(item, item.key.startswith(jm.OPEN))
         for key in self._merged.stale():
             self._committer.add(("drop", key), lambda key=key: Built([], [sm.Drop(key)], lambda mark: None), False)  # type: ignore[misc]
         for item in missing:
@@ -68,6 +81,38 @@
                     # By the book, as it stands when the chunk's turn has come.
                     self._book.mark_dirty(known, known.chunk_range(chunk).start, False)
         self._advance()
+        if self._rebuild.unheard:
+            log.info("still to be asked: %s", ", ".join(sorted(self._rebuild.unheard)))
+            Deferred.fromCoroutine(self._ask_late())
+
+    def stop(self) -> None:
+        self._stopped = True
+
+    async def _ask_late(self) -> None:
+        """Whoever could not be asked may know of ends and jobs that nobody else does: nothing is concluded before,
+        for as long as the operators want to wait for lost jobs."""
+        while self._rebuild.unheard and not self._stopped and not self._waited_enough():
+            await pause(self._clock, LATE_S)
+            try:
+                merged = await self._rebuild.late(self._merged)
+            except (Unavailable, Unknown, Refused) as error:
+                log.debug("late pictures wait: %s", error)
+                continue
+            if merged is None or self._stopped:
+                continue
+            for item in merged.missing(""):
+                if item.key.startswith(jm.OPEN) and JobId(item.key.removeprefix(jm.OPEN)) not in self._book.jobs:
+                    log.info("%s came back late", item.key)
+                    self._left.add(item.key)
+                    self._add(item, True)
+                elif not item.key.startswith(_FIRST):
+                    self._ended.setdefault(item.key, item)
+            self._advance()
+        self._advance()
+
+    def _waited_enough(self) -> bool:
+        wait = self._rebuild.lost_wait_s
+        return wait is not None and self._clock.seconds() - self._began > wait
 
     def _add(self, item: sm.Item, urgent: bool) -> None:
         def build() -> Built | None:
@@ -78,6 +123,8 @@
             def done(mark: Mark) -> None:
                 if job is not None:
                     job.mark = max(job.mark, mark)
+                elif item.key.startswith(jm.OPEN):
+                    self._on_late(item.key, item.value, mark)
 
             return Built([sm.Condition(item.key, item.mark)], [sm.Put(item.key, item.value)], done)
 
@@ -100,9 +147,10 @@
                 key, item = self._ended.popitem()
                 self._waiting.add(key)
                 self._add(item, False)
-            if not self._ended and not self._waiting:
+            if not self._ended and not self._waiting and (not self._rebuild.unheard or self._waited_enough()):
                 log.info("all that was known is back after %.2f s", self._clock.seconds() - self._began)
-                if self._merged.whole:
+                self._rebuild.hurry(False)
+                if self._merged.whole and self._rebuild.all_told():
                     self._say(None, lambda: None)
                 else:
                     self._say(Stage.SETTLING, lambda: None)
@@ -111,8 +159,9 @@
         record = self._eras.record
         assert record is not None
         until = None
-        if phase is Stage.SETTLING and self._lost_wait_s is not None:
-            until = WallTime(self._clock.seconds() + self._lost_wait_s)
+        wait = self._rebuild.lost_wait_s
+        if phase is Stage.SETTLING and wait is not None:
+            until = WallTime(self._clock.seconds() + wait)
         progress = Progress(record.number, phase, until) if phase is not None else None
 
         def build() -> Built | None:
--- a/meadowcross/replica/follower.py
+++ b/meadowcross/replica/follower.py
@@ -24,8 +24,8 @@
 
 log = logger("replica")
 
-PACE_S: Seconds = 0.25
-"""Between two looks at the feed: four requests a second at the most, whatever changes."""
+PACE_S: Seconds = 0.4
+"""Between two looks at the feed: two and a half requests a second at the most, whatever changes."""
 SLOWEST_S: Seconds = 2.0
 LATE_S: Seconds = 0.5
 """A timer this late tells that this process has no time to spare."""
@@ -33,6 +33,8 @@
 RETRY_S: Seconds = 1.0
 RATE_OVER_S: Seconds = 5.0
 """How often the leader writes is counted over so long."""
+LED_S: Seconds = 5.0
+"""Peers that noticed a loss tell within a beat of a second, once they are heard."""
 LEADERS = ("t/", "w/", "e/")
 """Only a leader writes below these."""
 
@@ -68,7 +70,7 @@
         self._wrote_at = Instant(0.0)
         self._resumed: Deferred[None] | None = None
         self.former: Former | None = None
-        self._read_at = Instant(0.0)
+        self._read_at = self._led_from = Instant(0.0)
         self._own = False
         """The picture is that of our own last term, not read since."""
         self.read_again = 0
@@ -222,6 +224,7 @@
         no term needs, are still to be read."""
         if self.state is not State.OFF:
             self.picture = picture
+            self._led_from = self.now
             self._become(State.LEADING, "this node leads")
             if not whole:
                 Deferred.fromCoroutine(self._read_ended(picture))
@@ -291,7 +294,9 @@
         if old:
             self._become(State.FROZEN, "the state service lost data before it was followed")
             return
-        own = self.state is State.LEADING or (self.state is State.COLD and self._own)
+        # Whoever just began to lead may have begun on what was left already: others noticed before.
+        led = self.now - self._led_from >= LED_S
+        own = led and (self.state is State.LEADING or (self.state is State.COLD and self._own))
         if self.former is None or own:
             self.former = Former(self.picture, era, own)
         else:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -54,7 +54,8 @@
 
 
 def starts_before_storing(monkeypatch):
-    """Placements are sent at once, whatever becomes of their transaction."""
+    """Placements are sent at once, whatever becomes of their transaction; and what would notice is left out too."""
+    monkeypatch.setattr(Term, "_see_beyond", lambda self, machine: None)
     stored = Term._take_places
 
     def take(self, choices):
@@ -84,7 +85,8 @@
 
 
 def placements_forgotten(monkeypatch):
-    """A new leader takes over no placement."""
+    """A new leader takes over no placement; and what would notice is left out too."""
+    monkeypatch.setattr(Term, "_see_beyond", lambda self, machine: None)
     monkeypatch.setattr(Job, "load_chunk", lambda self, first, entries: iter(()))
     monkeypatch.setattr(Roster, "_facts", lambda self, machine, report, now: [])
 
