Starts: what only a leader needs is loaded later, the era is known sooner

Change: the record is looked for every 20 ms until it is known, an empty store is told by its first change, and the term is imported 4 s after the start or at an election.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -23,11 +23,12 @@
 )
 
 if TYPE_CHECKING:
+    from meadowcross.leadership.term import Term
     from meadowcross.rebuild.merge import Source
     from meadowcross.replica.follower import Follower
 
 GC_OBJECTS, GC_TIMES = 100_000, 50
-PREPARE_S = 30.0
+PREPARE_S = 4.0
 LONG_S = 300.0
 """Who has followed for so long has seen ended what users still ask about, or has had it compared."""
 
@@ -100,7 +101,6 @@
         from meadowcross.leadership.peerlink import PeerLink
         from meadowcross.leadership.reach import heard_window
         from meadowcross.leadership.standby import Standby
-        from meadowcross.leadership.term import Term
         from meadowcross.rebuild.audit import Audit
         from meadowcross.rebuild.era import Eras
         from meadowcross.rebuild.gather import Rebuild, part_of
@@ -136,6 +136,8 @@
         self._teller: Teller | None = None
 
         def begin_term(token: Token) -> Term:
+            from meadowcross.leadership.term import Term
+
             self.store.set_share(SHARE_OF_LEADER)
             term = Term(
                 reactor,
@@ -345,9 +347,13 @@
         WorkerApi(take_report, leader_name, visitors, eras.token_seen).routes(self.router)
 
     def _prepare(self) -> None:
-        """What only a leader needs, loaded while there is nothing to hurry for."""
-        import meadowcross.estimates.keeper
-        import meadowcross.leadership.outlook  # noqa: F401
+        """What only a leader needs, loaded while there is nothing to hurry for: users wait for a start, and it
+        took a fifth of one."""
+        import meadowcross.leadership.term
+
+        if self._operator.learned_estimates >= 1:
+            import meadowcross.estimates.keeper
+            import meadowcross.leadership.outlook  # noqa: F401
 
     def _snapshots(self) -> list[Source]:
         """What the directory of snapshots gives for a rebuild; nothing where none is named."""
@@ -402,8 +408,7 @@
         host, _, port = self._settings.api_addr.rpartition(":")
         self._reactor.listenTCP(int(port), api_factory(self.router, self._reactor), interface=host, backlog=512)
         self.link.start(self._reactor, self._settings.peer_bind)
-        if self._operator.learned_estimates >= 1:
-            self._reactor.callLater(PREPARE_S, self._prepare)
+        self._reactor.callLater(PREPARE_S, self._prepare)
         Deferred.fromCoroutine(self.catalog.run())
         Deferred.fromCoroutine(self.eras.run())
         if self.follower is not None and self.audit is not None:
--- a/meadowcross/rebuild/era.py
+++ b/meadowcross/rebuild/era.py
@@ -17,7 +17,7 @@
 from meadowcross.common.clock import Clock, pause
 from meadowcross.common.logging import logger
 from meadowcross.common.types import Mark, Seconds, Token, era_of, token_of
-from meadowcross.rebuild.messages import ERA_KEY, PROGRESS_KEY, EraRecord, Progress, Stage
+from meadowcross.rebuild.messages import ERA_KEY, LEADER_KEY, PROGRESS_KEY, EraRecord, Progress, Stage
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown
@@ -28,6 +28,9 @@
 """Between looks at the record, while something is the matter with it."""
 OLDER_S: Seconds = 5.0
 """Beyond this a machine's age is not explained by clocks, or by who rented what just now."""
+AT_START_S: Seconds = 0.02
+START_KEYS = (ERA_KEY, LEADER_KEY, "types")
+"""What a new cluster's nodes may store before anybody else does."""
 decode_era = msgspec.json.Decoder(EraRecord).decode
 decode_progress = msgspec.json.Decoder(Progress).decode
 
@@ -128,7 +131,8 @@
                 log.debug("the era can't be read: %s", error)
             except Exception:
                 log.exception("looking at the era failed")
-            await pause(self._clock, LOOK_S)
+            # Nobody is served before the record is known: another node may just have written it.
+            await pause(self._clock, LOOK_S if self.record is not None else AT_START_S)
 
     async def look(self) -> None:
         """Read the record and compare it with what we know."""
@@ -168,6 +172,8 @@
     async def _compare_floor(self, number: int) -> None:
         """At our start: a snapshot of later than what the store holds proves a loss that nobody saw."""
         floor = self._floor()
+        if floor == (0, 0):
+            return
         revision = (await self._store.page("", 1)).revision
         if (number, revision) < floor:
             self.lost(f"a snapshot has era {floor[0]}, revision {floor[1]}; it is at {number}, {revision}", True)
@@ -179,7 +185,6 @@
 
     async def _begin(self) -> None:
         """The first era: of a new cluster, or of one whose store was written by an earlier version."""
-        page = await self._store.page("", 1)
         record = EraRecord(0, uuid.uuid4().hex)
         try:
             self.mark = await self._store.transact_bare(
@@ -188,7 +193,10 @@
         except Conflicted:
             return  # Another node's; the next look reads it.
         self.record, self.state = record, State.WHOLE
-        self.fresh = not page.items
+        # Users wait for a start: what else there is, is asked for only where this was not the first change of all.
+        self.fresh = self.mark == 1 or all(
+            item.key in START_KEYS for item in (await self._store.page("", len(START_KEYS) + 1)).items
+        )
         self._began = self._clock.seconds()
         await self._compare_floor(0)
         log.info("era 0 begins on %s store", "an empty" if self.fresh else "an earlier version's")
