--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -186,6 +186,7 @@
         """Jobs move from the open to the ended key in one transaction, so a job found under
         neither, in this order, was never accepted. What was read is compared once more, under the era's condition and
         with the store's count: a store that came back empty, or as it was before, knows no better."""
+        followed = self._followed(m.open_key(job)) is not None
         for _ in range(2):
             item = await self._store.get(m.open_key(job))
             if item is not None:
@@ -198,8 +199,8 @@
                 found[job] = self.ended(job, m.decode_ended(item.value))
                 return
             if await self._still([sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))]):
-                if self._followed(m.open_key(job)) is not None:
-                    # An open job only ever moves to the ended key.
+                if followed:
+                    # Known before we asked, and an open job only ever moves to the ended key.
                     self._missing(job)
                     raise Unavailable(f"job {job} is missing")
                 with self._lock:
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -675,6 +675,10 @@
             self._unanswered -= 1
             if not self._unanswered:
                 self._reach("nine of ten machines answered")
+                if self._back is None and self._doubted:
+                    # After a cold start that is enough: a store that lost its last seconds would have shown by now.
+                    self._doubted.clear()
+                    self.kick()
         if outcomes or (machine.confirmed and not was_confirmed):
             self.kick()
         return outcomes is not None
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -14,6 +14,7 @@
 from lab.world import Lab
 from meadowcross.cli import main as command
 from meadowcross.common.types import Mark, NodeName, Token, era_of, mark_of, token_of
+from meadowcross.rebuild.audit import Audit
 from meadowcross.rebuild.era import Eras, State
 from meadowcross.rebuild.merge import Source, merge
 from meadowcross.snapshots import files
@@ -21,6 +22,7 @@
 from meadowcross.store.client import StoreClient, Unavailable
 from meadowcross.store.messages import Condition, Item, Put, raw
 from tests.test_lab import EXAMPLES
+from tests.test_replica import follow, write
 
 # Tokens
 
@@ -174,6 +176,36 @@
     assert eras.token(Mark(8)) is None and eras.token(Mark(10)) == 10
 
 
+AUDITS = [
+    # name, what happens between the question that differs and the look at the key, or after that, what is said
+    ("written between the question and the feed", lambda w: None, lambda w: write(w, "t/a/00000"), None),
+    ("dropped meanwhile", lambda w: w.state.transact({"if": [], "writes": [{"drop": "t/a/00000"}]}), None, None),
+    ("gone without a word", lambda w: w.state.keys.pop("t/a/00000"), None, "is gone"),
+    ("an older version", lambda w: w.state.keys["t/a/00000"].update(mark=1), None, "went back"),
+]
+
+
+@pytest.mark.parametrize(("harm", "then", "said"), [a[1:] for a in AUDITS], ids=[a[0] for a in AUDITS])
+def test_an_audit_tells_a_loss_from_a_change(world, harm, then, said):
+    eras, store, lost = eras_of(world)
+    write(world, "t/a/00000")
+    follower = follow(world)
+    audit = Audit(world.clock, store, eras, follower, lambda: True)
+    harm(world)
+    get = store.get
+
+    async def slow(key, urgency):
+        item = await get(key, urgency)
+        if then is not None:
+            then(world)
+        return item
+
+    store.get = slow
+    world.run(audit._look("t/a/00000"))
+    store.get = get
+    assert (said in lost[0]) if said else lost == []
+
+
 # Snapshots
 
 
