--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -140,12 +140,12 @@
 FAULTS = [
     # a deliberate fault of our own code, the scenario that shows it, the rule that breaks
     (no_leader_condition, "late-transaction", "ran_twice"),
-    (starts_before_storing, "cut-from-store", "ran_twice"),
+    (starts_before_storing, "late-transaction", "ran_twice"),
     (silence_is_proof, "cut-from-workers", "ran_twice"),
     (placements_forgotten, "two-leaders-in-a-row", "ran_twice"),
     (no_limits, "overload", "quota"),
     (spot_for_all, "quiet", "wrong_place"),
-    (cancels_unwritten, "half-dead-and-no-leader", "ran_cancelled"),
+    (cancels_unwritten, "cancelled", "ran_cancelled"),
     (done_with_the_first, "quiet", "not_done"),
     (accepted_unstored, "quiet", "forgotten"),
     (questions_refused, "quiet", "forgotten"),
