--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -158,7 +158,7 @@
 @pytest.mark.parametrize(("fault", "name", "rule"), FAULTS, ids=[f"{f[0].__name__}-{f[2]}" for f in FAULTS])
 def test_the_judge_bites(monkeypatch, fault, name, rule):
     fault(monkeypatch)
-    assert rule in {one["rule"] for seed in (1, 2) for one in play(name, seed)["broken"]}
+    assert any(one["rule"] == rule for seed in (1, 2) for one in play(name, seed)["broken"])
 
 
 BAD = [
