--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -18,8 +18,9 @@
 from meadowcross.rebuild.era import Eras, State
 from meadowcross.rebuild.merge import Source, merge
 from meadowcross.snapshots import files
+from meadowcross.snapshots.cli import restore
 from meadowcross.store.budget import Urgency
-from meadowcross.store.client import StoreClient, Unavailable
+from meadowcross.store.client import Conflicted, StoreClient, Unavailable
 from meadowcross.store.messages import Condition, Item, Put, raw
 from tests.test_lab import EXAMPLES
 from tests.test_replica import follow, write
@@ -271,6 +272,19 @@
     assert len(capsys.readouterr().out.splitlines()) == 3
 
 
+def test_a_restore_begins_an_era_writes_what_is_missing_and_refuses_where_somebody_leads(world, tmp_path, capsys):
+    there = files.read(written(tmp_path, (5, FIRST), (8, SECOND), (9, THIRD))).source
+    store = StoreClient(world.clock, world.net, "state:1", world.settings.facts.state)
+    world.run(restore(store, there))
+    assert set(world.state.keys) == {"era", "rebuild", *THIRD} and "2 keys" in capsys.readouterr().out
+    world.run(restore(store, there))
+    assert "era 2: 0 keys" in capsys.readouterr().out
+    eras, _, lost = eras_of(world)
+    assert eras.state is State.REBUILDING and not lost and era_of(eras.token(Mark(9))) == 2
+    write(world, "lead")
+    assert world.run(restore(store, there)).check(Conflicted)
+
+
 def test_old_chains_go_and_the_newest_that_holds_stays(tmp_path):
     for first in (10, 20, 30, 40):
         written(tmp_path, (first, FIRST), (first + 1, SECOND))
