--- a/meadowcross/snapshots/cli.py
+++ b/meadowcross/snapshots/cli.py
@@ -85,7 +85,7 @@
 
 async def restore(store: StoreClient, source: Source) -> None:
     """A new era, and under it all that the snapshot has and the store lacks or has older. Raises Conflicted where
-    a node leads, or something else writes; it may be run again."""
+    a node leads, or something else writes; run again, it goes on where it stopped."""
     from meadowcross.common.types import Mark
     from meadowcross.rebuild.era import decode_era
     from meadowcross.rebuild.merge import merge
