Read-through: a node is ready only once it serves; a noticed loss is not overwritten; dead code out

Change: the record is taken only together with the progress, and not where something changed meanwhile. Unused: the age of hints, a parameter of asking late peers, two wrappers of one line.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -219,7 +219,7 @@
                 follower.lose(eras.record.number, eras.old)
             self.election.stand_down(f"the state service has lost data: {why}")
             self.election.nudge()
-            self.link.beat_now()
+            self.link.send_beats()
 
         async def new_era(mark: Mark) -> Token | None:
             """Elected where no token can be had in the era as it is."""
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -152,7 +152,7 @@
             peer_host, _, peer_port = peer.endpoint.rpartition(":")
             caller = _Caller(self, NodeName(peer.host_name), self._clock)
             reactor.connectTCP(peer_host, int(peer_port), caller, timeout=2)
-        loop = LoopingCall(self._send_beats)
+        loop = LoopingCall(self.send_beats)
         loop.clock = self._clock  # type: ignore[assignment]
         loop.start(BEAT_S)
 
@@ -172,7 +172,7 @@
         closed = self._closed_at.pop(peer, None)
         if refused and closed is not None and peer not in self._lost:
             self._lost[peer] = closed
-            self._send_beats()
+            self.send_beats()
             self._on_lost(peer)
 
     def lost(self, peer: NodeName) -> bool:
@@ -210,11 +210,8 @@
     async def _answer_handover(self, line: _Line, message: Handover) -> None:
         line.send(await self._hand_over(message.number) if self._hand_over is not None else Handed(message.number))
 
-    def beat_now(self) -> None:
-        """Something happened that peers should hear at once."""
-        self._send_beats()
-
-    def _send_beats(self) -> None:
+    def send_beats(self) -> None:
+        """Each second, and at once where something happened that peers should hear."""
         beat = self._own_beat()
         for line in list(self._lines.values()):
             line.send(beat)
--- a/meadowcross/rebuild/era.py
+++ b/meadowcross/rebuild/era.py
@@ -152,16 +152,20 @@
         ):
             self.lost(f"it tells of era {record.number}, ours is {known.number}")
             return
-        if known is None or record.number > known.number:
+        new = known is None or record.number > known.number
+        if not new and self.is_lost():
+            # Lost within this era: only a new one ends that.
+            return
+        progress = await self._store.get(PROGRESS_KEY, Urgency.LEADERSHIP)
+        if self.record is not known or (not new and self.is_lost()):
+            # Meanwhile we began an era ourselves, or a loss was noticed: what was read is from before.
+            return
+        if new:
             if known is not None:
                 log.info("era %d follows era %d", record.number, known.number)
                 self._store.restart(item.mark)
+            # Only now, with all that requests ask for: a node that was ready once refused its first submission.
             self.record, self.mark = record, item.mark
-            self.state = State.UNKNOWN
-        elif self.state is State.LOST:
-            # Lost within this era: only a new one ends that.
-            return
-        progress = await self._store.get(PROGRESS_KEY, Urgency.LEADERSHIP)
         self.progress = decode_progress(progress.value) if progress is not None else None
         self.state = State.WHOLE if self.progress is None else State.REBUILDING
         if known is None:
--- a/meadowcross/rebuild/gather.py
+++ b/meadowcross/rebuild/gather.py
@@ -86,7 +86,8 @@
     ) -> None:
         self._all_peers = all_peers
         self._sources: list[Source] = []
-        self._unheard: set[NodeName] = set()
+        self.unheard: set[NodeName] = set()
+        """Peers that may still know what nobody else does."""
         self._clock = clock
         self._store = store
         self.eras = eras
@@ -104,7 +105,7 @@
         """Whether tasks of jobs that nobody knows may still be somebody's."""
         return self.eras.phase is not None
 
-    async def late(self, merged: Merged) -> Merged | None:
+    async def late(self) -> Merged | None:
         """Ask whom we could not ask before; with what they add, everything merged anew, or None without news. Raises
         what the store client raises."""
         before = len(self._sources)
@@ -114,11 +115,6 @@
         left, _ = await self._store.list("", Urgency.LATER)
         return merge(self._sources, left, self.eras.mark, self.eras.old)
 
-    @property
-    def unheard(self) -> set[NodeName]:
-        """Peers that may still know what nobody else does."""
-        return self._unheard
-
     def hurry(self, on: bool) -> None:
         """While much is written back, four fifths of the store's rate; else a leader's share."""
         self._store.set_share(SHARE_OF_REBUILD if on else SHARE_OF_LEADER)
@@ -130,11 +126,11 @@
 
     async def _ask_unheard(self) -> None:
         connected = set(self._peers())
-        for peer in sorted(self._unheard & connected):
+        for peer in sorted(self.unheard & connected):
             found = await of_peer(self._clock, self._ask, peer)
             if found is None:
                 continue
-            self._unheard.discard(peer)
+            self.unheard.discard(peer)
             if isinstance(found, Source):
                 self._sources.append(found)
 
@@ -147,11 +143,11 @@
             items = {item.key: item for item in former.picture.entries()}
             sources.append(Source(self._node, former.era, former.picture.revision, former.whole, items))
         self._sources = sources
-        self._unheard = set()
+        self.unheard = set()
         if not self.eras.old:
             # Also where a leader's own picture is there: it lacks nothing that leaders stored, but what users did
             # at other nodes in the last moment only those may have seen.
-            self._unheard = set(self._all_peers)
+            self.unheard = set(self._all_peers)
             await self._ask_unheard()
         left, revision = await self._store.list("", Urgency.LEADERSHIP)
         merged = merge(sources, left, self.eras.mark, self.eras.old)
--- a/meadowcross/rebuild/writeback.py
+++ b/meadowcross/rebuild/writeback.py
@@ -94,7 +94,7 @@
         while self._rebuild.unheard and not self._stopped and not self._waited_enough():
             await pause(self._clock, LATE_S)
             try:
-                merged = await self._rebuild.late(self._merged)
+                merged = await self._rebuild.late()
             except (Unavailable, Unknown, Refused) as error:
                 log.debug("late pictures wait: %s", error)
                 continue
--- a/meadowcross/replica/hints.py
+++ b/meadowcross/replica/hints.py
@@ -124,9 +124,3 @@
             pressed=known.pressed + age if known.pressed is not None else None,
             asked={job: (since + age, waiting) for job, (since, waiting) in known.asked.items()},
         )
-
-    @property
-    def age(self) -> Seconds | None:
-        """How long ago the last hints came."""
-        return self._clock.seconds() - self._at if self._known is not None else None
-
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -169,6 +169,28 @@
     assert bool(lost) is noticed and eras.old is noticed and not eras.fresh
 
 
+@pytest.mark.parametrize("loss", [False, True])
+def test_a_node_is_ready_only_when_it_serves_and_a_loss_noticed_meanwhile_stays_noticed(world, loss):
+    first, _, _ = eras_of(world)
+    second, store, lost = eras_of(world)
+    assert first.state is second.state is State.WHOLE
+    second.record = second.record if loss else None
+    get = store.get
+
+    async def slow(key, urgency):
+        item = await get(key, urgency)
+        if key == "rebuild":
+            assert second.record is not None or second.closed() is not None
+            if loss:
+                second.lost("for the test")
+        return item
+
+    store.get, second.state = slow, State.REBUILDING if loss else State.UNKNOWN
+    world.run(second.look())
+    assert second.record is not None and bool(lost) is loss
+    assert second.state is (State.LOST if loss else State.WHOLE)
+
+
 def test_an_earlier_versions_store_is_taken_over_without_a_pause(world):
     world.state.transact({"if": [], "writes": [{"write": "j/old", "data": 1}]})
     eras, _, lost = eras_of(world, 300.0)
