Fleet: where no aim names money nothing is drained, and idle machines stay ready

Change: `money_counts` reads it from the aims. Where the users state aims and none weighs money, no kind is dear, nothing is drained, and an idle machine is kept for `ready-keep-s` (900 s). Without any aims, or with one on money, all is as before.

--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -149,6 +149,7 @@
     move_age_s: float = 600.0
     hold_s: float = 2.0
     idle_keep_boots: float = 0.7
+    ready_keep_s: float = 900.0
     dear_multiple: float = 2.0
     silent_s: float = 8.0
     drain_after_s: float = 10.0
@@ -177,6 +178,7 @@
     "move_age_s": Bound("seconds", 0, 86400),
     "hold_s": Bound("seconds", 0.5, 60),
     "idle_keep_boots": Bound("boot times", 0, 1000),
+    "ready_keep_s": Bound("seconds; where no aim names money", 0, 86400),
     "dear_multiple": Bound("times the cheapest price of a CPU", 1, 1000),
     "silent_s": Bound("seconds", 2, 600),
     "drain_after_s": Bound("seconds", 0, 86400),
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -32,6 +32,7 @@
     price_of,
     surplus,
 )
+from meadowcross.jobs.aims import money_counts
 from meadowcross.jobs.book import Book, Placement
 from meadowcross.jobs.messages import JobSpec
 from meadowcross.placement.engine import Room, Want, allowed, order
@@ -111,6 +112,7 @@
         self._pressed_at = 0.0
         self._needs: list[Need] = []
         self._dear: set[MachineKind] = set()
+        self._thrifty = money_counts(settings.facts.objectives)
         self.boots = Boots()
         self._ends = Ends(leader.book, leader.runs)
         self._listing = False
@@ -176,7 +178,8 @@
             if not self._leader.sure():
                 # Another may lead: its machines are neither silent nor idle because we hear nothing.
                 return
-            self._dear = dear_kinds(self._types(), self._operator.dear_multiple)
+            if self._thrifty:
+                self._dear = dear_kinds(self._types(), self._operator.dear_multiple)
             self._see_needs()
             self._look_after()
             self._return_idle()
@@ -303,14 +306,17 @@
             self._deleted.popitem(last=False)
 
     def _return_idle(self) -> None:
-        """Drain and return by what waits: nothing; nothing pressed; something pressed."""
+        """Drain and return by what waits: nothing; nothing pressed; something pressed.
+
+        Where no aim names money nothing is drained and no kind is dear: once the ordinary machines that a site had
+        from its start were returned as dear one by one, while its idle-time work waited for room."""
         now = self.now
         if any(need.pressed for need in self._needs):
             self._pressed_at = now
         if self._needs:
             self._wanted_at = now
         roster = self._leader.roster.machines.values()
-        if now - self._wanted_at > self._operator.drain_after_s:
+        if self._thrifty and now - self._wanted_at > self._operator.drain_after_s:
             self._drain()
         elif now - self._pressed_at > self._operator.drain_after_s:
             waiting = [need.spec for need in self._needs if self._must_pay(need.spec)]
@@ -339,7 +345,10 @@
         return any(allowed(spec, machine.kind) for spec in waiting) or any(self._must_pay(s) for s in running)
 
     def _keep_s(self, machine: Machine) -> Seconds:
-        """An idle machine may cost as much as the boot that returning it may bring."""
+        """An idle machine may cost as much as the boot that returning it may bring; where money does not count it
+        is kept while more work of some class is likely to come."""
+        if not self._thrifty:
+            return self._operator.ready_keep_s
         boot = self.boots.expected(machine.type, self.now) if machine.type is not None else 0.0
         return self._operator.idle_keep_boots * boot
 
--- a/meadowcross/jobs/aims.py
+++ b/meadowcross/jobs/aims.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from meadowcross.common.settings import Objective
 from meadowcross.common.types import Seconds
@@ -22,6 +22,15 @@
 """Past all its aims a job goes on aiming at times that grow by this factor, so that it waits for
 what can still be in time, but not for ever."""
 
+MONEY = frozenset({"useful", "price"})
+"""Kinds of aims that weigh what is paid."""
+
+
+def money_counts(objectives: Collection[Objective]) -> bool:
+    """Whether what is rented has to be worth its money. Where the users state aims and none of them names money,
+    what is kept ready follows from those alone; where they state none at all, nothing is taken for free."""
+    return not objectives or any(aim.kind in MONEY for aim in objectives)
+
 
 class Aims:
     def __init__(self, objectives: Iterable[Objective]) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -32,7 +32,9 @@
     "facts": {
         "zones": ["east", "west"], "initial_size": 3, "clock_off_ms": 5.0,
         "teams": [{"name": "a", "cpus": 4.0, "cpus_max": 8.0}, {"name": "b"}],
-        "objectives": [{"kind": "finished", "class": "slow", "within_s": 250.0, "share": 0.8}],
+        "objectives": [
+            {"kind": "finished", "class": "slow", "within_s": 250.0, "share": 0.8}, {"kind": "price", "at_most": 2.0},
+        ],
         "workers": {"report_s": 3.0, "lease_s": 16.0, "cancel_s": 40.0},
         "state": {"rps": 1000.0, "write_rps": 1000.0, "value_kb": 16.0, "txn_ops": 24},
         "cloud": {"rps": 50.0, "list_lag_s": 3.0},
