--- a/meadowcross/fleet/arrivals.py
+++ b/meadowcross/fleet/arrivals.py
@@ -67,7 +67,9 @@
     boots: Boots,
     types: dict[str, m.MachineType],
     now: Instant,
+    freed_boots: float = FREED_BOOTS,
 ) -> list[Coming]:
+    """`freed_boots`: what ends within so many boots counts as room."""
     coming = []
     for rental in renting:
         kind, count = types[rental.kind.type], rental.machines
@@ -95,7 +97,7 @@
             )
             coming.append(room)
             if machine.up:
-                soon = Instant(now + FREED_BOOTS * types[kind_of.name].boot_s)
+                soon = Instant(now + freed_boots * types[kind_of.name].boot_s)
                 for spec in ends.of(machine, soon, now):
                     room.cpus += spec.cpus
                     room.gpus += spec.gpus
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -16,7 +16,7 @@
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds, Token
 from meadowcross.estimates.runs import Runs
 from meadowcross.fleet import messages as m
-from meadowcross.fleet.arrivals import Ends, Offers, room_coming
+from meadowcross.fleet.arrivals import FREED_BOOTS, Ends, Offers, room_coming
 from meadowcross.fleet.boots import Boots
 from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from meadowcross.fleet.silence import patience
@@ -418,8 +418,11 @@
             return
         closed = {kind for kind, until in self._closed.items() if until > now}
         leader = self._leader
+        # To wait for what ends saves money, and nothing else: once an array waited for minutes for tasks that were
+        # always about to end, while half of the spot machines could have been rented.
+        freed = FREED_BOOTS if self._thrifty else 0.0
         coming = room_coming(
-            self._renting.values(), leader.roster, self._ends, leader.view, self.boots, types, now
+            self._renting.values(), leader.roster, self._ends, leader.view, self.boots, types, now, freed
         )
         for kind, machines in plan(self._needs, coming, types, closed, self._dear):
             # As many requests at once as it takes: the cloud's rate spaces them.
--- a/tests/test_ready.py
+++ b/tests/test_ready.py
@@ -41,3 +41,25 @@
     assert len(world.workers) == kept
     world.pass_time(world.operator.ready_keep_s, 1.0)
     assert not world.workers, "nothing is kept that serves no aim"
+
+
+ROOM = [
+    # the aim named, what runs, whether a machine is rented for work that finds no room
+    ("money counts: what ends soon is waited for", "price", {"grazeS": 10.0}, 0),
+    ("no money: a boot begins at once", "wait", {"grazeS": 10.0}, 1),
+    ("money counts, but a service never ends", "price", {"grazeS": 0.0, "breed": "daemon", "herd": "web"}, 1),
+]
+
+
+@pytest.mark.parametrize(("named", "runs", "rented"), [r[1:] for r in ROOM], ids=[r[0] for r in ROOM])
+def test_what_waits_for_room_that_comes_free_and_what_is_rented_for(world, named, runs, rented):
+    """An array waited for minutes for tasks that were always about to end, and for services, whose estimate is 0."""
+    aims(world, Objective(named, "train", within_s=15.0))
+    world.types = [msgspec.structs.replace(one, boot_s=40.0) for one in world.types]
+    world.lead()
+    world.submit(heads=1, cpus=4.0, builds=["small"], sundownS=None, **runs)
+    world.pass_time(3.0)
+    before = len(world.workers)
+    world.submit(id="wk-000002", heads=1, cpus=4.0, builds=["small"], grazeS=10.0, sundownS=None)
+    world.pass_time(1.0)
+    assert len(world.workers) - before == rented
