Placement: slow fetches decide where a task goes; two images fetched on one machine make both late

Cause: every face-match replica was placed within a second, and an eighth of them still began late: a machine's fetches share its rate (0.2 GB/s against images of 5 to 20 GB), and photo-backfill's were begun beside them. The choice for jobs bound by zones did not look at images at all.

Change: machines know which images are fetched there; where a fetch takes over 5 s tasks are offered machines by tier (image there, then alone or joining the same fetch by kind of job, last where another is fetched); the score decides among equals. Below 5 s nothing changes for arrays and zones.

--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -691,7 +691,7 @@
             return
         now = self.now
         if outcome.change is Change.RUNS:
-            machine.images.add(job.spec.image)
+            machine.has_image(job.spec.image)
             log.debug("task %s runs on %s after %.2f s", placement.task, machine.id, now - placement.since)
             return
         self.roster.detach(placement, job.spec, now)
@@ -700,7 +700,7 @@
                 log.debug("task %s done on %s after %.2f s", placement.task, machine.id, now - placement.running_at)
             where = Where(machine.id, machine.kind.type, not self.health.suspect(machine.id), machine.silent_until)
             self._samples.done(job, placement, where, now)
-            machine.images.add(job.spec.image)
+            machine.has_image(job.spec.image)
             self.book.task_done(placement)
             self._condemn(self.health.succeeded(job, machine.id), BAD_MACHINE)
         else:
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -135,6 +135,7 @@
                 machine.type.gpus - machine.gpus,
                 machine.type.memory_gb - machine.memory_gb,
                 machine.images,
+                set(machine.fetches),
             )
             for machine in machines
             if machine.type is not None and self._offerable(machine, heard_since)
@@ -188,7 +189,7 @@
             within,
         )  # fmt: skip
         want.run_s = run
-        fetch = spec.image_gb / fastest
+        want.fetch_s = fetch = spec.image_gb / fastest
         want.start_slack = self._aims.start_slack(spec, elapsed) - fetch
         want.warm_only = self._warm_only(spec, elapsed, fetch)
         if constrained(spec):
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -29,6 +29,8 @@
     free_gpus: float
     free_memory: float
     images: set[str]
+    fetching: set[str] = field(default_factory=set)
+    """Images that are being fetched there; they share the machine's rate."""
 
     def fits(self, spec: JobSpec) -> bool:
         return (
@@ -62,6 +64,8 @@
     """How long it may still wait, its image fetched, for its class's aim on the start."""
     run_s: Seconds = 0.0
     """How long one of its tasks is expected to run."""
+    fetch_s: Seconds = 0.0
+    """How long its image takes to fetch, alone on the best machine type."""
     siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
     """Per machine: its zone and how many of the job's tasks count there."""
 
@@ -169,6 +173,26 @@
     rank: int
 
 
+SLOW_FETCH_S: Seconds = 5.0
+"""A fetch that takes longer decides when the task starts; below it the score alone spreads what is cold."""
+
+
+def fetch_tier(want: Want, offer: Offer) -> int:
+    """How soon the task's image is there, and at whose cost; machines of a lower tier are offered first, and the
+    score decides among equals. Fetches on one machine share its rate, so two images fetched there make both late: a
+    machine that fetches another one is the last choice. An array joins a fetch under way, one for many tasks; a
+    service's replica, which must find its image elsewhere when its machine is lost, begins one of its own first."""
+    if want.spec.image in offer.images:
+        return 0
+    if want.fetch_s < SLOW_FETCH_S:
+        return 1
+    if not offer.fetching:
+        return 1 if want.spec.kind is Kind.SERVICE else 2
+    if want.spec.image in offer.fetching:
+        return 2 if want.spec.kind is Kind.SERVICE else 1
+    return 3
+
+
 def may_enter(want: Want, hold: Hold | None) -> bool:
     return hold is None or hold.job == want.job or want.rank < hold.rank
 
@@ -223,19 +247,22 @@
     the smallest exception that spares starts an image fetch (see docs/design.md)."""
     spec = want.spec
     machines: list[MachineId] = []
-    warm = [o for o in fitting if spec.image in o.images]
-    cold = [] if want.warm_only else [o for o in fitting if spec.image not in o.images]
-    for group in (warm, cold):
-        heap = [(-score(spec, o, {}, weights), o.machine, o) for o in group]
-        heapq.heapify(heap)
-        while heap and len(machines) < count:
-            _, name, offer = heap[0]
-            offer.take(spec)
-            machines.append(name)
-            if offer.fits(spec):
-                heapq.heapreplace(heap, (-score(spec, offer, {}, weights), name, offer))
-            else:
-                heapq.heappop(heap)
+
+    def entry(offer: Offer) -> tuple[int, float, MachineId, Offer]:
+        return fetch_tier(want, offer), -score(spec, offer, {}, weights), offer.machine, offer
+
+    heap = [entry(o) for o in fitting if not want.warm_only or spec.image in o.images]
+    heapq.heapify(heap)
+    while heap and len(machines) < count:
+        tier, _, name, offer = heap[0]
+        offer.take(spec)
+        if tier > 0:
+            offer.fetching.add(spec.image)
+        machines.append(name)
+        if offer.fits(spec):
+            heapq.heapreplace(heap, entry(offer))
+        else:
+            heapq.heappop(heap)
     return machines
 
 
@@ -251,7 +278,7 @@
             return []
     else:
         options = [fitting]
-    best: tuple[float, list[MachineId]] | None = None
+    best: tuple[tuple[int, float], list[MachineId]] | None = None
     for option in options:
         total, machines = _greedy(want, option, count, weights)
         if talks(spec) and len(machines) < count:
@@ -263,37 +290,51 @@
     by_name = {o.machine: o for o in fitting}
     for name in best[1]:
         by_name[name].take(spec)
+        if spec.image not in by_name[name].images:
+            by_name[name].fetching.add(spec.image)
     return best[1]
 
 
-def _greedy(want: Want, option: list[Offer], count: int, weights: Operator) -> tuple[float, list[MachineId]]:
+def _greedy(
+    want: Want, option: list[Offer], count: int, weights: Operator
+) -> tuple[tuple[int, float], list[MachineId]]:
+    """The machines, and how good they are: by the tiers of their fetches, then by score."""
     spec = want.spec
+    # Where fetches are quick, zones and score alone decide, as the design has it.
+    slow = want.fetch_s >= SLOW_FETCH_S
+    tiers = {o.machine: -fetch_tier(want, o) if slow else 0 for o in option}
     siblings = dict(want.siblings)
     in_zone = want.in_zone()
     # Half of all the job's tasks, rounded up, however many of them are placed.
     most_in_zone = (spec.tasks + 1) // 2 if spec.spread else 10**9
-    total = 0.0
+    total, tier = 0.0, 0
     machines: list[MachineId] = []
     for _ in range(count):
-        best: tuple[float, Offer] | None = None
+        best: tuple[int, float, Offer] | None = None
         for offer in option:
             if in_zone[offer.kind.zone] >= most_in_zone or not offer.fits(spec):
                 continue
+            if best is not None and tiers[offer.machine] < best[0]:
+                continue
             value = score(spec, offer, siblings, weights)
-            if best is None or value > best[0]:
-                best = (value, offer)
+            if best is None or (tiers[offer.machine], value) > best[:2]:
+                best = (tiers[offer.machine], value, offer)
         if best is None:
             break
-        value, offer = best
+        _, value, offer = best
         offer.take(spec)
         total += value
+        tier += tiers[offer.machine]
+        if slow and spec.kind is Kind.SERVICE and tiers[offer.machine] == -1:
+            # Its next replica would join the fetch that this one begins.
+            tiers[offer.machine] = -2
         machines.append(offer.machine)
         in_zone[offer.kind.zone] += 1
         zone, number = siblings.get(offer.machine, (offer.kind.zone, 0))
         siblings[offer.machine] = (zone, number + 1)
     for name in machines:
         next(o for o in option if o.machine == name).take(spec, -1)
-    return total, machines
+    return (tier, total), machines
 
 
 def slots(spec: JobSpec, cpus: float, gpus: float, memory_gb: float) -> int:
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum
 from threading import RLock
 from typing import NamedTuple
@@ -95,6 +96,9 @@
         self.unclaimed: list[m.TaskReport] = []
         """Tasks of jobs that nobody knows, after a loss: neither stopped nor forgotten."""
         self.images: set[str] = set()
+        """Those that tasks ran with here, as far as this leader saw."""
+        self.fetches: Counter[str] = Counter()
+        """Images that placed tasks wait for here, and how many of them."""
         self.cpus = 0.0
         self.gpus = 0.0
         self.memory_gb = 0.0
@@ -114,6 +118,11 @@
         self.gpus += sign * spec.gpus
         self.memory_gb += sign * spec.memory_gb
 
+    def has_image(self, image: str) -> None:
+        """A task ran with it."""
+        self.images.add(image)
+        self.fetches.pop(image, None)
+
     def fits(self, spec: JobSpec) -> bool:
         kind = self.type
         return (
@@ -158,6 +167,8 @@
         with self._lock:
             machine.placements[placement.task] = placement
             machine.holds(spec, 1)
+            if spec.image not in machine.images:
+                machine.fetches[spec.image] += 1
             self._see_room(machine)
 
     def detach(self, placement: Placement, spec: JobSpec, now: Instant) -> None:
@@ -167,6 +178,10 @@
                 return
             del machine.placements[placement.task]
             machine.holds(spec, -1)
+            if machine.fetches.get(spec.image, 0) > 1:
+                machine.fetches[spec.image] -= 1
+            else:
+                machine.fetches.pop(spec.image, None)
             if not machine.placements:
                 machine.cpus = machine.gpus = machine.memory_gb = 0.0
                 machine.idle_since = now
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -113,6 +113,32 @@
     assert sum(o.free_cpus for o in offers) == 8 - placed
 
 
+FETCHES = [
+    # kind, fetch time, images and fetches of three equal machines, which get the first and the second of two tasks
+    ("quick: the score alone", "batch", 1.0, [set(), set(), set()], [set(), {"img"}, {"other"}], ["a", "b"]),
+    ("warm first", "daemon", 30.0, [set(), set(), {"img"}], [set(), set(), set()], ["c", "c"]),
+    ("a replica not beside others", "daemon", 30.0, [set(), set(), set()], [{"other"}, {"img"}, set()], ["c", "b"]),
+    ("an array joins its fetch", "batch", 30.0, [set(), set(), set()], [{"other"}, {"img"}, set()], ["b", "b"]),
+    ("an array begins one fetch for all", "batch", 30.0, [set(), set(), set()], [{"other"}, set(), {"x"}], ["b", "b"]),
+    ("a gang waits for its slowest", "group", 30.0, [{"img"}, {"img"}, set()], [{"x"}, set(), set()], ["a", "b"]),
+]
+
+
+@pytest.mark.parametrize(
+    ("kind", "fetch_s", "images", "fetching", "chosen"), [f[1:] for f in FETCHES], ids=[f[0] for f in FETCHES]
+)
+def test_two_images_fetched_on_one_machine_make_both_late(kind, fetch_s, images, fetching, chosen):
+    """A live-matching replica was late by the fetch that an idle-time array had begun on the same machine."""
+    offers = [offer(name, images=images[n]) for n, name in enumerate("abc")]
+    for one, under_way in zip(offers, fetching, strict=True):
+        one.fetching = set(under_way)
+    # Alike in all that the score sees, so that the names decide among equals.
+    asked = want(heads=2, breed=kind, cpus=1.0, memoryGb=4.0)
+    asked.fetch_s = fetch_s
+    (choice,) = place(offers, [asked], rooms(), WEIGHTS)
+    assert choice.machines == [MachineId(name) for name in chosen]
+
+
 def test_old_members_hold_their_zone_until_gone():
     old = {MachineId("gone?"): ("west", 1)}
     offers = [offer("e", cpus=16.0, memory=64.0)]
