Estimates: a service never ends, so its room is not about to come free

A service's owner estimates 0 s, so all running services counted as overdue and their room as free in a moment; nothing was rented beside them. For the same reason a replica stayed on a machine with a notice until it was taken, and a service of low priority never gave way.

Change: what is left of a service is infinite, for both kinds of estimates.

--- a/meadowcross/estimates/learned.py
+++ b/meadowcross/estimates/learned.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from functools import lru_cache
-from math import ceil, exp, isfinite, log, log2, sqrt
+from math import ceil, exp, inf, isfinite, log, log2, sqrt
 from threading import RLock
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -36,6 +36,7 @@
     widened,
 )
 from meadowcross.estimates.runs import TYPICAL
+from meadowcross.jobs import messages as jm
 from meadowcross.jobs.messages import JobSpec
 
 if TYPE_CHECKING:
@@ -228,7 +229,7 @@
         return kept.middle if q == TYPICAL else kept.curve.at(q)
 
     def left(self, spec: JobSpec, ran: Seconds, q: float = TYPICAL, machine_type: str = "") -> Seconds:
-        return self._kept(spec, machine_type).left(ran, q)
+        return inf if spec.kind is jm.Kind.SERVICE else self._kept(spec, machine_type).left(ran, q)
 
     def curve_of(self, spec: JobSpec) -> Curve:
         """A job's curve, at most some seconds old."""
--- a/meadowcross/estimates/runs.py
+++ b/meadowcross/estimates/runs.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from math import inf
 from typing import Protocol
 
 from meadowcross.common.types import JobId, MachineId, Seconds
-from meadowcross.jobs.messages import JobSpec
+from meadowcross.jobs.messages import JobSpec, Kind
 
 TYPICAL = 0.5
 """For the order and for what a machine is paid for: as often too long as too short."""
@@ -24,7 +25,8 @@
 
     def left(self, spec: JobSpec, ran: Seconds, q: float = TYPICAL, machine_type: str = "") -> Seconds:
         """The same of what is left of a run that has lasted `ran`; 0 or less: it is overdue, and
-        nothing is known of when it ends."""
+        nothing is known of when it ends. Infinite for a service, which runs until it is cancelled: as its owner
+        estimates 0, all services once counted as room about to come free, and nothing was rented beside them."""
 
     def done(self, spec: JobSpec, ran: Seconds, machine: MachineId, machine_type: str) -> None:
         """A task completed after running for so long."""
@@ -49,7 +51,7 @@
         return spec.estimate_s * self.ratios.get(spec.job_class, 1.0)
 
     def left(self, spec: JobSpec, ran: Seconds, q: float = TYPICAL, machine_type: str = "") -> Seconds:
-        return self.run(spec) - ran
+        return inf if spec.kind is Kind.SERVICE else self.run(spec) - ran
 
     def done(self, spec: JobSpec, ran: Seconds, machine: MachineId, machine_type: str) -> None:
         if spec.estimate_s > 0:
