--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -51,6 +51,7 @@
     share: float | None = None
     times: float | None = None
     within_s: float | None = None
+    after_s: float | None = None
 
 
 class WorkerFacts(Struct, frozen=True):
@@ -178,7 +179,7 @@
     "move_age_s": Bound("seconds", 0, 86400),
     "hold_s": Bound("seconds", 0.5, 60),
     "idle_keep_boots": Bound("boot times", 0, 1000),
-    "ready_keep_s": Bound("seconds; where no aim names money", 0, 86400),
+    "ready_keep_s": Bound("seconds; where no aim is a deadline", 0, 86400),
     "dear_multiple": Bound("times the cheapest price of a CPU", 1, 1000),
     "silent_s": Bound("seconds", 2, 600),
     "drain_after_s": Bound("seconds", 0, 86400),
--- a/meadowcross/fleet/cloud.py
+++ b/meadowcross/fleet/cloud.py
@@ -24,6 +24,10 @@
     """No usable answer; the request may have been executed, or may be later."""
 
 
+class CloudRefused(CloudTrouble):
+    """The request was certainly not carried out: never sent, or answered, and not with 200."""
+
+
 class NoCapacity(Exception):
     """None available for this type, zone and kind."""
 
@@ -42,7 +46,9 @@
     async def _send(self, method: str, path: str, body: bytes | None) -> Reply:
         try:
             reply = await self._http.call(method, self._address, path, body, CALL_S)
-        except (NotSent, Unanswered) as error:
+        except NotSent as error:
+            raise CloudRefused(str(error)) from error
+        except Unanswered as error:
             raise CloudTrouble(str(error)) from error
         if reply.status == 429:
             self._budget.empty_out()
@@ -74,11 +80,12 @@
         return m.decode_names(reply.body).machines
 
     async def delete(self, machines: list[MachineId]) -> None:
-        """Returns only once the machines and all that was on them are gone."""
+        """Returns only once the machines and all that was on them are gone. Raises CloudRefused where the cloud said
+        that it did not carry the request out, CloudTrouble where it may still."""
         body = m.encode(m.MachineNames(machines[: m.MAX_DELETE]))
         reply = await self._call("POST", "/rentals/delete", body, Urgency.USER)
         if reply.status != 200:
-            raise CloudTrouble(f"deletion: {reply.status}")
+            raise CloudRefused(f"deletion: {reply.status}")
 
     async def oldest(self) -> Seconds | None:
         """The age of the oldest machine that is listed, 0 where none is; None without an answer."""
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -18,7 +18,7 @@
 from meadowcross.fleet import messages as m
 from meadowcross.fleet.arrivals import FREED_BOOTS, Ends, Offers, room_coming
 from meadowcross.fleet.boots import Boots
-from meadowcross.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from meadowcross.fleet.cloud import Cloud, CloudRefused, CloudTrouble, NoCapacity
 from meadowcross.fleet.silence import patience
 from meadowcross.fleet.sizing import (
     MIN_CHARGE_S,
@@ -165,11 +165,22 @@
         if machine.type is not None:
             self.boots.came_up(machine.type, self.now - machine.rented_at, self.now)
 
-    def condemn(self, machine: Machine, why: str) -> None:
-        """Take it out of use for good; deleting it proves what was there gone."""
+    def condemn(self, machine: Machine, why: str, silent: bool = False) -> None:
+        """Take it out of use; deleting it proves what was there gone. Where it was only `silent`, and the cloud refuses
+        to delete it, it is taken back when it speaks again."""
         if machine.condemned is None:
             log.info("machine %s condemned with %d tasks: %s", machine.id, len(machine.placements), why)
             machine.condemned = why
+            machine.silent_only = silent
+
+    def _speaks_again(self, machine: Machine) -> bool:
+        """Taken back: in an outage of the cloud a cut ended first, and ten machines whose tasks ran on, or could
+        have begun again beside their images, were deleted when the cloud was back."""
+        if not machine.silent_only or not machine.confirmed or self._leader.view.silent(machine):
+            return False
+        log.info("machine %s speaks again before it was deleted", machine.id)
+        machine.condemned, machine.silent_only = None, False
+        return True
 
     def _on_tick(self) -> None:
         try:
@@ -256,7 +267,7 @@
                 found_us = machine.up or now - self._began > view.window
                 silence = view.silence(machine)
                 if found_us and silence > kept[machine.kind.zone]:
-                    self.condemn(machine, f"silent for {silence:.1f} s")
+                    self.condemn(machine, f"silent for {silence:.1f} s", True)
                 elif view.silent(machine):
                     self._leader.sender.greet(machine.id)
             elif machine.placements or machine.addr is not None:
@@ -264,7 +275,7 @@
                 if machine.addr is not None:
                     self._leader.sender.greet(machine.id)
                 if now - max(self._began, machine.known_at) > self._facts.workers.lease_s:
-                    self.condemn(machine, "silent since it is known to this term")
+                    self.condemn(machine, "silent since it is known to this term", True)
             else:
                 patience_s = self.boots.patience(machine.type, now) if machine.type else 180.0
                 waited = now - max(machine.rented_at, Instant(0.0))
@@ -275,7 +286,7 @@
         doomed = [
             x.id
             for x in self._leader.roster.machines.values()
-            if x.condemned is not None and x.id not in self._deleting
+            if x.condemned is not None and x.id not in self._deleting and not self._speaks_again(x)
         ]
         if doomed:
             doomed = doomed[: m.MAX_DELETE]
@@ -286,8 +297,11 @@
         try:
             await self._cloud.delete(names)
         except CloudTrouble as error:
-            # Unknown whether it was executed: only a 200 proves the machines gone.
+            # Only a 200 proves the machines gone; without an answer it may still be executed.
             log.info("deletion of %s: %s", ", ".join(names), error)
+            for machine in map(self._leader.roster.machines.get, names):
+                if machine is not None and not isinstance(error, CloudRefused):
+                    machine.silent_only = False
             return
         finally:
             self._deleting.difference_update(names)
@@ -308,7 +322,7 @@
     def _return_idle(self) -> None:
         """Drain and return by what waits: nothing; nothing pressed; something pressed.
 
-        Where no aim names money nothing is drained and no kind is dear: once the ordinary machines that a site had
+        Where no aim gives time to save money in, nothing is drained and no kind is dear: once the ordinary machines that a site had
         from its start were returned as dear one by one, while its idle-time work waited for room."""
         now = self.now
         if any(need.pressed for need in self._needs):
--- a/meadowcross/jobs/aims.py
+++ b/meadowcross/jobs/aims.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
+from math import inf
 
+from meadowcross.common.logging import logger
 from meadowcross.common.settings import Objective
 from meadowcross.common.types import Seconds
-from meadowcross.jobs.messages import JobSpec
+from meadowcross.jobs.messages import JobSpec, Kind
 
 NO_DUE: Seconds = 1e9
 HOPE = 0.25
@@ -22,21 +24,25 @@
 """Past all its aims a job goes on aiming at times that grow by this factor, so that it waits for
 what can still be in time, but not for ever."""
 
-MONEY = frozenset({"useful", "price"})
-"""Kinds of aims that weigh what is paid."""
+log = logger("jobs")
+
+KNOWN = frozenset({"wait", "finished", "deadline", "up"})
 
 
 def money_counts(objectives: Collection[Objective]) -> bool:
-    """Whether what is rented has to be worth its money. Where the users state aims and none of them names money,
-    what is kept ready follows from those alone; where they state none at all, nothing is taken for free."""
-    return not objectives or any(aim.kind in MONEY for aim in objectives)
+    """Whether work may wait for cheaper room. A deadline is time that its owner gives, and money is saved within it.
+    Where the users state aims, and all of them run from the submission, nobody gives time: what is kept ready follows
+    from those aims alone. Where none are stated, nothing is taken for free. (The price itself is no aim that the
+    settings name.)"""
+    return not objectives or any(aim.kind == "deadline" for aim in objectives)
 
 
 class Aims:
-    def __init__(self, objectives: Iterable[Objective]) -> None:
+    def __init__(self, objectives: Collection[Objective]) -> None:
         self._starts: dict[str | None, list[Seconds]] = {}
         self._finishes: dict[str | None, list[Seconds]] = {}
         self._times: dict[str | None, list[float]] = {}
+        self._ups: dict[str | None, Seconds] = {}
         for aim in objectives:
             if aim.kind == "wait" and aim.within_s is not None:
                 self._starts.setdefault(aim.job_class, []).append(aim.within_s)
@@ -44,6 +50,10 @@
                 self._finishes.setdefault(aim.job_class, []).append(aim.within_s)
             elif aim.kind == "deadline" and aim.times is not None:
                 self._times.setdefault(aim.job_class, []).append(aim.times)
+            elif aim.kind == "up":
+                self._ups[aim.job_class] = min(aim.after_s or 0.0, self._ups.get(aim.job_class, inf))
+        if unknown := {aim.kind for aim in objectives} - KNOWN:
+            log.info("aims of kinds that are not known count for nothing: %s", ", ".join(sorted(unknown)))
         for aims in (self._starts, self._finishes, self._times):
             for values in aims.values():
                 values.sort()
@@ -60,6 +70,13 @@
                 return within - elapsed
         return NO_DUE
 
+    def up_slack(self, spec: JobSpec, elapsed: Seconds, lost: bool) -> Seconds:
+        """How long until a service's replica that waits is missed: one that was `lost` after it ran is already; a new
+        one is from when an aim begins to count the time that its class's replicas are up. NO_DUE for other jobs."""
+        if spec.kind is not Kind.SERVICE:
+            return NO_DUE
+        return 0.0 if lost else self._ups.get(spec.job_class, NO_DUE) - elapsed
+
     def dues(self, spec: JobSpec) -> list[Seconds]:
         """The times after its submission by which it should be done, soonest first: the same all its life."""
         dues = list(self._finishes.get(spec.job_class, ()))
--- a/meadowcross/jobs/book.py
+++ b/meadowcross/jobs/book.py
@@ -81,6 +81,8 @@
         self.gang_attempt: Attempt | None = None
         self.carried: dict[int, Seconds] = {}
         """Progress of earlier attempts that the next goes on from, where this leader saw it."""
+        self.lost_at: Instant | None = None
+        """When a task of it was last seen gone by this leader."""
         self.ending = False
         self.dues: list[Seconds] | None = None
         """Its users' aims on its end, once asked for: see `Aims.dues`."""
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -694,6 +694,9 @@
             machine.has_image(job.spec.image)
             log.debug("task %s runs on %s after %.2f s", placement.task, machine.id, now - placement.since)
             return
+        if outcome.change is Change.WAITS:
+            machine.has_image(job.spec.image)
+            return
         self.roster.detach(placement, job.spec, now)
         if outcome.change is Change.DONE:
             if placement.running_at is not None:
@@ -707,6 +710,7 @@
             log.info("task %s attempt %d gone from %s: %s", placement.task, placement.attempt, machine.id, outcome.why)
             self._samples.gone(job, placement, outcome.saved, None, now)
             self.book.gone(placement)
+            job.lost_at = now
             if outcome.why in (wm.ERROR, wm.UNKNOWN_JOB) and job.cancelled is None:
                 self._condemn(self.health.failed(job, placement, now), "it fails what fares well elsewhere")
             elif outcome.why == wm.NO_ROOM:
@@ -816,6 +820,7 @@
                 log.info("task %s attempt %d gone with %s", placement.task, placement.attempt, name)
                 self._samples.gone(job, placement, False, heard, self.now)
                 self.book.gone(placement)
+                job.lost_at = self.now
                 self._after_change(job)
         self._cleared(name)
         self.health.forget_machine(name)
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -16,7 +16,7 @@
 from meadowcross.jobs.book import Book, Job, Phase
 from meadowcross.jobs.messages import JobSpec
 from meadowcross.leadership.reach import Reach, heard_window
-from meadowcross.placement.engine import Offer, Room, Want, constrained
+from meadowcross.placement.engine import SLOW_FETCH_S, Offer, Room, Want, constrained
 from meadowcross.placement.moves import Replica
 from meadowcross.placement.preemption import Victim, mark_borrowed
 from meadowcross.workers.health import Health
@@ -24,6 +24,8 @@
 
 NO_LIMIT = 1e15
 ALMOST_DONE_S: Seconds = 3.0
+WARM_WAIT_S: Seconds = 2.0
+"""A task that gives way is gone within a second; then its room may be taken."""
 
 
 class View:
@@ -190,8 +192,12 @@
         )  # fmt: skip
         want.run_s = run
         want.fetch_s = fetch = spec.image_gb / fastest
-        want.start_slack = self._aims.start_slack(spec, elapsed) - fetch
-        want.warm_only = self._warm_only(spec, elapsed, fetch)
+        up_slack = self._aims.up_slack(spec, elapsed, want.retrying)
+        want.start_slack = min(self._aims.start_slack(spec, elapsed), up_slack) - fetch
+        if constrained(spec):
+            want.warm_only = up_slack <= 0 and self._lost_lately(job, now, fetch)
+        else:
+            want.warm_only = self._warm_only(spec, elapsed, fetch)
         if constrained(spec):
             for placement in job.placed.values():
                 machine = self._roster.machines.get(placement.machine)
@@ -207,6 +213,11 @@
         within = self._aims.start_within(spec.job_class)
         return within is not None and elapsed < within / 2 and elapsed + fetch > within
 
+    def _lost_lately(self, job: Job, now: Instant, fetch: Seconds) -> bool:
+        """Whether a replica that is missed waits a moment for room where its image is, made by lower priority, as a
+        slow fetch would keep it down for longer than that."""
+        return fetch >= SLOW_FETCH_S and job.lost_at is not None and now - job.lost_at < WARM_WAIT_S
+
     def _gang_ready(self, job: Job) -> bool:
         """A gang starts anew once all of its old attempt is gone; before it has started,
         a missing member is replaced with the same attempt."""
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -270,6 +270,8 @@
     """One zone, spread and gangs; a gang's tasks are all placed or none are."""
     spec = want.spec
     zones = {zone for zone, _ in want.siblings.values()}
+    if want.warm_only:
+        fitting = [o for o in fitting if spec.image in o.images]
     if spec.one_zone:
         # Old members hold their zone until they are gone.
         chosen = sorted(zones or {o.kind.zone for o in fitting})
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -37,14 +37,17 @@
     m.TaskState.RUNNING: Phase.RUNNING,
     m.TaskState.SAVING: Phase.SAVING,
 }
-EXITED, RUNNING = m.TaskState.EXITED, m.TaskState.RUNNING
-SENT, RUNS = Phase.SENT, Phase.RUNNING
+EXITED, RUNNING, WAITING = m.TaskState.EXITED, m.TaskState.RUNNING, m.TaskState.WAITING
+SENT, RUNS, WAITS = Phase.SENT, Phase.RUNNING, Phase.WAITING
 
 
 class Change(Enum):
     DONE = "done"
     GONE = "gone"
     RUNS = "runs"
+    WAITS = "waits"
+    """For its gang, with its image. Once that was not seen, and what came to be replaced before the gang was
+    complete went to another machine, to fetch it anew."""
 
 
 class Outcome(NamedTuple):
@@ -104,6 +107,8 @@
         self.memory_gb = 0.0
         self.idle_since = now
         self.condemned: str | None = None
+        self.silent_only = False
+        """Condemned for nothing but its silence, and no deletion of it may still be under way."""
         self.draining = False
         self.stored = False
 
@@ -266,6 +271,8 @@
                         outcomes.append(Outcome(Change.RUNS, placement))
                     placement.phase = RUNS
                 else:
+                    if task.state is WAITING and placement.phase is not WAITS:
+                        outcomes.append(Outcome(Change.WAITS, placement))
                     placement.phase = PHASES[task.state]
         if len(found) < len(placements):
             there = set(found)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -125,3 +125,19 @@
     seen = (lambda: offers, lambda _: offers)
     chosen = giving.choose([waiting], {}, *seen, rooms(), lambda *_: [running], bool, lambda key: True, Instant(1.0))
     assert [v.grace for _, group in chosen for v in group] == graces
+
+
+def test_a_replica_that_is_missed_takes_room_where_its_image_is_and_no_other():
+    asked = want(heads=2, count=1, rank=0, breed="daemon", scatter=True, siblings={MachineId("w"): ("west", 1)})
+    asked.warm_only, asked.fetch_s, asked.start_slack = True, 30.0, -30.0
+    offers = [offer("cold"), offer("warm", cpus=0.0, memory=0.0, images=["img"])]
+    assert place(offers, [asked], rooms(), Operator()) == []
+    giving = GivingWay(Operator())
+    victims = [victim("cheap", "cold", loss=0.0), victim("there", "warm", loss=9.0)]
+    chosen = giving.choose(
+        [asked], {}, lambda: offers, lambda there: offers, rooms(), lambda rank, guaranteed: victims, bool,
+        lambda key: True, Instant(1.0),
+    )  # fmt: skip
+    assert [v.key for _, gone in chosen for v in gone] == ["there"] and set(giving.holds) == {"warm"}
+    asked.warm_only = False
+    assert [choice.machines for choice in place(offers, [asked], rooms(), Operator())] == [["cold"]]
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -41,6 +41,8 @@
     ("ended done", {}, {"tasks": [head(TaskState.EXITED, why="done")]}, Change.DONE),
     ("ended with an error", {}, {"tasks": [head(TaskState.EXITED, why="error")]}, Change.GONE),
     ("runs", {}, {"tasks": [head(TaskState.RUNNING)]}, Change.RUNS),
+    ("waits for its gang, with its image", {}, {"tasks": [head(TaskState.WAITING)]}, Change.WAITS),
+    ("waits still", {"phase": Phase.WAITING}, {"tasks": [head(TaskState.WAITING)]}, None),
     ("older sequence", {}, {"seq": 4}, None),
     ("same sequence again", {}, {"seq": 5}, None),
     ("older session, higher sequence", {"session": 2}, {"session": 1, "seq": 99}, None),
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -43,3 +43,33 @@
     assert any(
         (m["build"], m["field"], m["stubble"]) == kind for n, m in world.cloud.machines.items() if n not in known
     )
+
+
+BACK = [
+    # what becomes of the deletion, whether a machine that speaks again is kept
+    ("the cloud is down", "trouble", True),
+    ("never sent", "refuse", True),
+    ("no answer: it may still be executed", "late", False),
+]
+
+
+@pytest.mark.parametrize(("fault", "kept"), [b[1:] for b in BACK], ids=[b[0] for b in BACK])
+def test_a_machine_that_speaks_again_before_it_was_deleted_is_taken_back(world, fault, kept):
+    """Ten machines were cut off in an outage of the cloud, came back, and were deleted when the cloud did."""
+    term = world.lead()
+    world.submit(heads=1, builds=["small"], grazeS=600.0, sundownS=None)
+    world.pass_time(6.0)
+    ((name, worker),) = world.workers.items()
+    world.workers = {}
+    away = world.net.hosts.pop(worker.machine["addr"])
+    world.cloud.trouble = fault == "trouble"
+    world.net.faults = [("cloud:1/rentals/delete", fault)] * 9 if fault != "trouble" else []
+    world.pass_time(12.0)
+    machine = term.roster.machines[name]
+    assert machine.condemned is not None
+    world.workers, world.net.hosts[worker.machine["addr"]] = {name: worker}, away
+    world.pass_time(3.0)
+    world.cloud.trouble, world.net.faults = False, []
+    world.pass_time(6.0)
+    assert (name not in world.cloud.deleted) is kept
+    assert world.running() == ["wk-000001/0"]
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -8,7 +8,7 @@
 
 from lab.standins import TYPES
 from meadowcross.common.settings import Objective, Settings
-from meadowcross.common.types import Mark, Token, WallTime
+from meadowcross.common.types import Instant, Mark, Token, WallTime
 from meadowcross.estimates.runs import MeanRuns
 from meadowcross.fleet.messages import decode_types, encode
 from meadowcross.jobs.book import Book
@@ -41,3 +41,32 @@
     book.add(JobRecord(msgspec.convert(job(herd=job_class, pullGb=image), JobSpec), WallTime(100.0)), Mark(1))
     view = View(clock, facts, lambda: types, book, Roster(Token(1)), Health(bool), MeanRuns())
     assert [want.warm_only for want in view.wants()] == [warm_only]
+
+
+LOST = [
+    # kind, image in GB at 1 GB a second, seconds since it was lost, whether only warm room is taken, whether in a hurry
+    ("a replica just lost", "daemon", 30.0, 1.0, True, True),
+    ("no warm room was made in time", "daemon", 30.0, 2.5, False, True),
+    ("a quick fetch", "daemon", 1.0, 1.0, False, True),
+    ("an array's task", "batch", 30.0, 1.0, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("kind", "image", "ago", "warm_only", "hurry"), [one[1:] for one in LOST], ids=[one[0] for one in LOST]
+)
+def test_a_lost_replica_waits_a_moment_for_room_where_its_image_is(kind, image, ago, warm_only, hurry):
+    """Replicas of lost machines fetched 6 GB anew for 30 to 45 s beside idle-time work on machines that had it."""
+    clock = Clock()
+    clock.advance(500.0)
+    facts = msgspec.convert(SETTINGS, Settings).facts
+    types = decode_types(encode({"builds": TYPES})).types
+    book = Book()
+    spec = msgspec.convert(job(breed=kind, pullGb=image, scatter=True, sundownS=None), JobSpec)
+    lost = book.add(JobRecord(spec, WallTime(100.0)), Mark(1))
+    lost.attempts = [1, 1]
+    book.rebuild_waiting(lost)
+    lost.lost_at = Instant(500.0 - ago)
+    view = View(clock, facts, lambda: types, book, Roster(Token(1)), Health(bool), MeanRuns())
+    (want,) = view.wants()
+    assert (want.warm_only, want.start_slack < 0) == (warm_only, hurry)
