Late copies of reports count for nothing; a job that only machines know stays known; the lab brings about the new troubles

Now a report counts once (`Visitors`, `Term.on_report`). - After lost data a job of which only workers' reports tell got 503 (for ever with lost-wait-s 0) and 404 once time was up. Its id is kept under `rebuild` while nobody submits it again, every node answers `running` for it, and a cancel ends it. The answer for ids that nobody knows becomes 404 when time is up, as before. - Lab: machines whose reports arrive and whom nothing reaches, copies of reports, machines back at once (anew or going on); the judge asks that no job is without an answer for 75 s once all troubles are over, and tells how the largest tenth of a class fared.

--- a/lab/judge.py
+++ b/lab/judge.py
@@ -12,6 +12,11 @@
 from typing import Any
 
 POLLS_FAIL_S = 90.0
+FORGOTTEN_S = 75.0
+"""Once all troubles are over: a job about which no question is answered for so long, however others fare."""
+BEGIN_S = 240.0
+LARGEST = 0.1
+"""The share of a class's jobs, those with most tasks and at least one, that count as its largest."""
 
 
 @dataclass(slots=True)
@@ -40,6 +45,8 @@
     cancel_told: float | None = None
     told: str | None = None
     answered: float = 0.0
+    submitted: float = 0.0
+    begun: float | None = None
     done: set[int] = field(default_factory=set)
 
 
@@ -72,6 +79,8 @@
         self._of_job: dict[str, dict[int, On]] = {}
         self._use: Counter[str] = Counter()
         self._polls: deque[tuple[float, bool]] = deque()
+        self.quiet_from = 0.0
+        """When the last trouble is over."""
 
     def note(self, what: str) -> None:
         line = f"{self._now():.6f} {what}\n"
@@ -94,6 +103,8 @@
         seen = self.jobs[job]
         spec = seen.spec
         self.started += 1
+        if seen.begun is None:
+            seen.begun = self._now()
         here = On(job, number, machine, type_, zone, spot)
         others = self._on.setdefault((job, number), [])
         if others:
@@ -137,7 +148,7 @@
     # Users
 
     def submitted(self, spec: Spec) -> Seen:
-        return self.jobs.setdefault(spec.id, Seen(spec))
+        return self.jobs.setdefault(spec.id, Seen(spec, submitted=self._now()))
 
     def refused(self, job: str, status: int) -> None:
         self.note(f"user: {job} refused with {status}")
@@ -175,6 +186,10 @@
             self._polls.popleft()
         if status == 404 and seen.accepted is not None:
             self.breaks("forgotten", f"{job} got 404")
+        since = max(seen.answered, self.quiet_from)
+        if status != 200 and seen.accepted is not None and now - since > FORGOTTEN_S:
+            seen.answered = now
+            self.breaks("forgotten", f"no answer about {job} for {FORGOTTEN_S:.0f} s after all troubles")
         good = sum(1 for _, ok in self._polls if ok)
         if status != 200 and seen.accepted is not None and now - seen.answered > POLLS_FAIL_S:
             seen.answered = now
@@ -192,6 +207,26 @@
         if not self.started:
             self.breaks("nothing_ran", "no task was started")
 
+    def largest(self) -> dict[str, tuple[float, float]]:
+        """By class, of its largest jobs that were not cancelled: the share done (of services, running in full), and
+        the share of which a task was on a machine within four minutes of the first submission."""
+        classes: dict[str, list[Seen]] = {}
+        for seen in self.jobs.values():
+            if seen.cancel_asked is None:
+                classes.setdefault(seen.spec.job_class, []).append(seen)
+        found = {}
+        for name, jobs in sorted(classes.items()):
+            jobs.sort(key=lambda seen: (-seen.spec.tasks, -seen.spec.cpus, seen.spec.id))
+            some = jobs[: max(1, round(LARGEST * len(jobs)))]
+            begun = sum(1 for seen in some if seen.begun is not None and seen.begun - seen.submitted <= BEGIN_S)
+            found[name] = (sum(map(self._is_served, some)) / len(some), begun / len(some))
+        return found
+
+    def _is_served(self, seen: Seen) -> bool:
+        if seen.spec.kind == "service":
+            return len(self._of_job.get(seen.spec.id, {})) == seen.spec.tasks
+        return seen.told == "done"
+
     def served(self) -> tuple[dict[str, float], dict[str, float]]:
         """The share of jobs that were done, by class and by team; of services, of those whose replicas all run.
         Jobs that their users cancelled do not count."""
@@ -199,9 +234,7 @@
         for seen in self.jobs.values():
             if seen.cancel_asked is not None:
                 continue
-            done = seen.told == "done"
-            if seen.spec.kind == "service":
-                done = len(self._of_job.get(seen.spec.id, {})) == seen.spec.tasks
+            done = self._is_served(seen)
             for total, name in zip(totals, (seen.spec.job_class, seen.spec.team), strict=True):
                 count = total.setdefault(name, [0, 0])
                 count[0] += done
--- a/lab/machines.py
+++ b/lab/machines.py
@@ -68,6 +68,10 @@
         self.works: dict[str, Work] = {}
         self.gangs: dict[tuple[str, int], Gang] = {}
         self.on_start: Callable[[int], None] = lambda token: None
+        self.copy_after: float | None = None
+        """Seconds after which the network delivers each report once more, to any node."""
+        self.courier: HttpClient | None = None
+        """Who delivers what outlives its sender."""
 
 
 class Machine(Worker):
@@ -87,6 +91,8 @@
         self._nodes = sorted(world.nodes)
         self._node = world.simulation.random.choice(self._nodes)
         self.sick = False
+        self.deaf = False
+        """Its reports arrive; answers and commands don't reach it."""
 
     @property
     def now(self) -> float:
@@ -142,9 +148,17 @@
         sent, session = self.now, self.session
         self._reported = sent
         body = json.dumps(self.report()).encode()
+        if self._world.copy_after is not None:
+            self._world.simulation.later(
+                self._world.copy_after * self._world.simulation.random.uniform(0.2, 1.8), lambda: self._copied(body)
+            )
         try:
             status, content = await self._client.call("POST", self._world.nodes[self._node], "/checkin", body, ANSWER_S)
+            if self.deaf:
+                await pause(self._reactor, sent + ANSWER_S - self.now)
         except (NotSent, Unanswered):
+            status = 0
+        if not status or self.deaf:
             self._next()
             return ELSEWHERE_S
         if status == 200:
@@ -162,6 +176,13 @@
         self._next()
         return ELSEWHERE_S
 
+    def _copied(self, body: bytes) -> None:
+        """A copy comes late, whatever has become of the machine; nobody hears the answer."""
+        courier, node = self._world.courier, self._world.simulation.random.choice(self._nodes)
+        if courier is not None:
+            call = courier.call("POST", self._world.nodes[node], "/checkin", body, ANSWER_S)
+            Deferred.fromCoroutine(call).addErrback(lambda failure: failure.trap(NotSent, Unanswered))
+
     def _next(self) -> None:
         self._node = self._nodes[(self._nodes.index(self._node) + 1) % len(self._nodes)]
 
@@ -183,8 +204,12 @@
 
     # Commands
 
-    def _serve(self, caller: str, method: str, path: str, query: dict[str, str], body: bytes) -> Answer:
+    def _serve(
+        self, caller: str, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> Answer | Deferred[Answer]:
         self._check_lease(False)
+        if self.deaf:
+            return Deferred()
         if path == "/commands":
             request = json.loads(body)
             if "crook" not in request or "tenure" not in request:
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -71,7 +71,7 @@
 FaultKind = Literal[
     "node_kill", "node_freeze", "node_slow", "node_cut", "peers_refuse", "store_outage", "store_slow", "store_refuses",
     "store_late", "kill_after_write", "zone_cut", "machine_die", "machine_hang", "machine_cut", "capacity",
-    "store_loss",
+    "store_loss", "machine_deaf", "machine_back", "report_copies",
 ]  # fmt: skip
 
 
@@ -95,6 +95,8 @@
     prefix: str | None = None
     what: Literal["all", "back", "prefix", "keys", "older"] | None = None
     """What is lost: everything; the last `for_s`; all below `prefix`; `count` keys; their last versions."""
+    anew: bool = True
+    """What is back begins with session and sequence number at their start, or goes on with them."""
 
 
 NEEDS: dict[str, tuple[str, ...]] = {
@@ -112,6 +114,9 @@
     "machine_die": ("count",),
     "machine_hang": ("count", "for_s"),
     "machine_cut": ("count", "for_s"),
+    "machine_deaf": ("count", "for_s"),
+    "machine_back": ("count", "back_s"),
+    "report_copies": ("for_s", "factor"),
     "capacity": ("factor", "for_s"),
     "store_loss": ("what",),
 }
--- a/lab/world.py
+++ b/lab/world.py
@@ -16,6 +16,7 @@
 from lab.services import Rentals, Store
 from lab.users import Users
 from meadowcross.app import Node
+from meadowcross.common.http import HttpClient
 from meadowcross.common.settings import Operator, Settings
 from meadowcross.common.types import Address
 
@@ -39,6 +40,12 @@
     first_start_s: float | None = None
 
 
+def over(fault: Fault) -> float:
+    """When a trouble and what it leaves under way are over."""
+    copies = 2 * (fault.factor or 0.0) if fault.kind == "report_copies" else 0.0
+    return fault.at_s + (fault.for_s or 0.0) + (fault.back_s if fault.back_s is not None else BACK_S) + copies
+
+
 class Lab:
     def __init__(self, scenario: Scenario, seed: int, keep: bool = False) -> None:
         # Twisted draws the jitter of its reconnections from here.
@@ -67,6 +74,7 @@
         for number, name in enumerate(self.names):
             self.simulation.host(name, scenario.zones[number % len(scenario.zones)])
             self.boot(name)
+        self.judge.quiet_from = max((over(fault) for fault in scenario.faults), default=0.0)
         for fault in scenario.faults:
             self.simulation.at(fault.at_s, lambda fault=fault: self.strike(fault))  # type: ignore[misc]
         count = 0
@@ -85,6 +93,7 @@
         self.cloud.on_rent, self.cloud.on_delete = self._rented, self._deleted
         self.users = Users(boot(host("users", "")), self.judge, self.api, self.scenario.workers.cancel_s)
         reactor = self.users._reactor
+        self.world.courier = HttpClient(boot(host("network", "")))
         for at in range(int(self.scenario.duration_s // STRAY_S)):
             job = f"wk-9{at:05d}"
             reactor.callLater(STRAY_S * (at + 1), lambda job=job: Deferred.fromCoroutine(self.users.stray(job)))
@@ -277,6 +286,17 @@
             case "machine_cut":
                 some = self._some(fault)
                 simulation.add_cut(Cut(some, set(simulation.hosts) - set(some), fault.mode), fault.for_s)
+            case "machine_deaf":
+                for name in self._some(fault):
+                    machine = self.machines[name]
+                    machine.deaf = True
+                    later(for_s, lambda machine=machine: setattr(machine, "deaf", False))  # type: ignore[misc]
+            case "machine_back":
+                for name in self._some(fault):
+                    self._back(name, fault)
+            case "report_copies":
+                self.world.copy_after = fault.factor
+                later(for_s, lambda: setattr(self.world, "copy_after", None))
             case "store_loss":
                 store.lose(fault.what or "all", for_s, fault.prefix or "", fault.count or 0)
             case "capacity":
@@ -304,6 +324,22 @@
         self.cloud.died[name] = self.simulation.now
         self.simulation.kill(self.simulation.hosts[name], True)
 
+    def _back(self, name: str, fault: Fault) -> None:
+        """The machine loses what was on it, and is there again in a moment."""
+        old = self.machines[name]
+        old.stop("restart")
+        host = self.simulation.hosts[name]
+        self.simulation.kill(host, True)
+
+        def again() -> None:
+            if name in self.cloud.machines and name not in self.cloud.died:
+                self._up(self.cloud.machines[name], host)
+                if not fault.anew:
+                    self.machines[name].session, self.machines[name].seq = old.session + 1, old.seq
+                    self.machines[name].token = old.token
+
+        self.simulation.later(fault.back_s or 0.0, again)
+
     def play(self) -> dict[str, Any]:
         self.simulation.run(self.scenario.duration_s)
         self.judge.finish()
@@ -313,6 +349,7 @@
             "hash": self.judge.hash,
             "served": classes,
             "served_teams": teams,
+            "largest": self.judge.largest(),
             "takeovers": [msgspec.to_builtins(one) for one in self.takeovers],
             "started": self.judge.started,
             "lost": self.judge.lost,
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -341,6 +341,7 @@
             Trust(
                 lambda: eras.record is not None, eras.closed, eras.unknown_may_be_somebodys, to_leader,
                 follower.accepted if follower is not None else lambda key, value, mark: None, missing, elder,
+                eras.shown_by_machines,
             ),
         )  # fmt: skip
         api.routes(self.router)
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -322,8 +322,8 @@
     def _return_idle(self) -> None:
         """Drain and return by what waits: nothing; nothing pressed; something pressed.
 
-        Where no aim gives time to save money in, nothing is drained and no kind is dear: once the machines that a site had
-        from its start were returned as dear one by one, while its idle-time work waited for room."""
+        Where no aim gives time to save money in, nothing is drained and no kind is dear: once the machines that a
+        site had from its start were returned as dear one by one, while its idle-time work waited for room."""
         now = self.now
         if any(need.pressed for need in self._needs):
             self._pressed_at = now
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -96,6 +96,8 @@
     """Told of a job that this node saw stored, and that the store does not know."""
     elder: Callable[[JobId], Awaitable[Answer | None]] = _nobody
     """What a node that has followed the store for longer says of a job that the store does not know."""
+    shown_by_machines: Callable[[JobId], bool] = lambda job: False
+    """Whether machines had tasks of a job whose submission is lost."""
 
 
 class JobApi:
@@ -271,6 +273,9 @@
         answer = await self._known(job)
         if answer is None and (elder := await self._trust.elder(job)) is not None and elder.status == 200:
             return elder
+        if answer is None and self._trust.shown_by_machines(job):
+            # Its submission is lost, its tasks are not: neither unknown nor, without proof, over.
+            return answer_of(job, m.Standing.RUNNING, 0, 0)
         return answer or self._unknown()
 
     async def cancel(self, job_text: str) -> Answer:
@@ -279,6 +284,11 @@
             return reason(404, "no such job")
         for _ in range(TRIES):
             found = await self._lookup.find(job)
+            if found is None and self._trust.shown_by_machines(job):
+                try:
+                    return await self._cancel_unrecorded(job)
+                except (Conflicted, Unknown):
+                    continue
             if found is None:
                 return self._unknown()
             if isinstance(found, m.EndedRecord):
@@ -307,6 +317,20 @@
             return answer_of(job, m.Standing.CANCELLED, 0, 0)
         return reason(503, "the job is changing", RETRY_AFTER_S)
 
+    async def _cancel_unrecorded(self, job: JobId) -> Answer:
+        """Its submission is lost and machines run its tasks: ended, so that they are stopped as any job's that is
+        over."""
+        ended = m.EndedRecord(m.Standing.CANCELLED, 0)
+        await self._store.transact(
+            [sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))],
+            [sm.Put(m.ended_key(job), sm.raw(ended))],
+            Urgency.USER,
+            1.5,
+        )
+        log.info("job %s, known by its tasks only, cancelled", job)
+        self._lookup.ended(job, ended)
+        return answer_of(job, m.Standing.CANCELLED, 0, 0)
+
 
 def is_job_id(text: str) -> bool:
     prefix, _, number = text.partition("-")
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -47,7 +47,7 @@
 from meadowcross.placement.preemption import GivingWay
 from meadowcross.rebuild.gather import Rebuild, picture_of
 from meadowcross.rebuild.merge import Merged
-from meadowcross.rebuild.messages import PROGRESS_KEY, Stage
+from meadowcross.rebuild.messages import MOST_KNOWN, PROGRESS_KEY, Stage
 from meadowcross.rebuild.writeback import WriteBack
 from meadowcross.replica.follower import Follower
 from meadowcross.replica.messages import Hints
@@ -402,23 +402,34 @@
         return self._rebuild is not None and self._rebuild.unsettled()
 
     def _settle_lost(self) -> None:
-        """Time is up for jobs that nobody knows: they are told as unknown, and what still runs of them is stopped."""
+        """What machines show of jobs whose submissions are lost is kept on record, so that every node answers for
+        them. Time is up for all others: they are told as unknown. Once such jobs were given up with them, and their
+        users, who had been told that they were accepted, that there was no such job."""
         eras = self._rebuild.eras if self._rebuild is not None else None
         if eras is None or eras.phase is not Stage.SETTLING or eras.progress is None:
             return
-        if eras.progress.until is None or self.now < eras.progress.until:
+        progress = eras.progress
+        for machine in self.roster.machines.values():
+            left = [task for task in machine.unclaimed if not self._over(TaskId.parse(task.task).job)]
+            if len(left) < len(machine.unclaimed):
+                # Cancelled meanwhile: its next report shows them as any other task without a record.
+                machine.unclaimed, machine.shown = left, None
+        shown = Counter(TaskId.parse(t.task).job for m in self.roster.machines.values() for t in m.unclaimed)
+        jobs = {*map(JobId, progress.known), *shown}
+        known = sorted(job for job in jobs if job not in self.book.jobs and not self._over(job))[:MOST_KNOWN]
+        over = not known and progress.until is not None and self.now >= progress.until
+        if not over and known == progress.known:
             return
-        jobs = Counter(TaskId.parse(t.task).job for m in self.roster.machines.values() for t in m.unclaimed)
-        for job, tasks in sorted(jobs.items()):
-            log.error("job %s is given up: %d of its tasks were found, and no record of it", job, tasks)
+        for job in known:
+            if job not in progress.known:
+                log.error("job %s has no record, but %d tasks on machines: it counts as running", job, shown[job])
+        then = None if over else msgspec.structs.replace(progress, known=[str(job) for job in known])
 
-        def done(mark: Mark) -> None:
-            eras.now_at(None)
-            for machine in self.roster.machines.values():
-                # Its next report shows them as any other task without a record.
-                machine.unclaimed, machine.shown = [], None
+        def build() -> Built | None:
+            change = sm.Drop(PROGRESS_KEY) if then is None else sm.Put(PROGRESS_KEY, sm.raw(then))
+            return Built([], [change], lambda mark: eras.now_at(then))
 
-        self.committer.add(("progress", None), lambda: Built([], [sm.Drop(PROGRESS_KEY)], done), True)
+        self.committer.add(("progress", None), build, True)
 
     def _known_to_be_over(self, job: JobId) -> bool:
         return self._follower is not None and self._follower.get(jm.ended_key(job)) is not None
@@ -631,7 +642,9 @@
             self._election.stand_down(str(error))
             return None
         machine = self.roster.machines[report.machine]
-        machine.reported_at = self.now
+        if machine.heard_at == self.now:
+            # Not a copy that comes late: that says nothing of whom its machine reaches now.
+            machine.reported_at = self.now
         return wm.Response(self.token, commands_for(machine, self.book) if newest else [])
 
     def _on_direct_report(self, report: wm.Report) -> None:
@@ -649,9 +662,10 @@
         was_confirmed = machine.confirmed
         notice = machine.taken_at
         session = machine.version.session
-        if machine.up and self.view.silent(machine):
-            machine.silent_until = self.now
+        silent = machine.up and self.view.silent(machine)
         outcomes = self.roster.apply(machine, report, self.now)
+        if silent and machine.heard_at == self.now:
+            machine.silent_until = self.now
         if outcomes is not None and (machine.strays or machine.exited):
             if self._unsettled():
                 self._claim(machine)
--- a/meadowcross/rebuild/era.py
+++ b/meadowcross/rebuild/era.py
@@ -268,4 +268,10 @@
 
     def unknown_may_be_somebodys(self) -> bool:
         """Whether a job that the store does not know may have been accepted all the same."""
+        if self.phase is Stage.SETTLING and self.progress is not None and self.progress.until is not None:
+            return self._clock.seconds() < self.progress.until
         return self.fresh or self.phase is not None
+
+    def shown_by_machines(self, job: str) -> bool:
+        """Whether the job's submission is lost, but machines had tasks of it."""
+        return self.progress is not None and job in self.progress.known
--- a/meadowcross/rebuild/messages.py
+++ b/meadowcross/rebuild/messages.py
@@ -38,6 +38,13 @@
     phase: Stage = field(name="p")
     until: WallTime | None = field(name="u", default=None)
     """While settling: until then jobs that nobody knows are not said to be unknown; none: for ever."""
+    known: list[str] = field(name="j", default_factory=list)
+    """Jobs of which nothing is left but tasks on machines: that proves that they were submitted, so they stay known,
+    also once time is up, until their users submit them again."""
+
+
+MOST_KNOWN = 400
+"""Of them; what a value of the state service holds with room to spare."""
 
 
 class PictureWanted(Struct, tag="picture?", tag_field="kind"):
--- a/meadowcross/workers/api.py
+++ b/meadowcross/workers/api.py
@@ -35,11 +35,11 @@
         try:
             if take is None:
                 reporter = m.decode_reporter(body)
-                self._visitors.came(reporter.machine)
+                self._visitors.came(reporter.machine, reporter.version)
                 self._token_seen(reporter.token)
             else:
                 report = m.decode_report(body)
-                self._visitors.came(report.machine)
+                self._visitors.came(report.machine, report.version)
                 self._token_seen(report.token)
                 response = take(report)
                 if response is not None:
--- a/meadowcross/workers/messages.py
+++ b/meadowcross/workers/messages.py
@@ -45,10 +45,16 @@
 
 
 class Reporter(Struct):
-    """Of a report, whose it is and the highest token it has seen: all that a node that does not lead reads."""
+    """Of a report, whose and which it is and the highest token seen: all that a node that does not lead reads."""
 
     machine: MachineId = field(name="stall")
     token: Token = field(name="crook", default=Token(0))
+    session: int = field(name="tenure", default=0)
+    seq: int = field(name="tally", default=0)
+
+    @property
+    def version(self) -> ReportVersion:
+        return ReportVersion(self.session, self.seq)
 
 
 DONE = "done"
--- a/meadowcross/workers/visitors.py
+++ b/meadowcross/workers/visitors.py
@@ -3,21 +3,42 @@
 from __future__ import annotations
 
 from meadowcross.common.clock import Clock
-from meadowcross.common.types import Instant, MachineId, Seconds
+from meadowcross.common.types import Instant, MachineId, ReportVersion, Seconds
+
+KEPT_WINDOWS = 20
+"""For so many windows a machine's last report is known again when a copy of it comes."""
 
 
 class Visitors:
-    """The workers that reported within the last `window` seconds."""
+    """The workers that reported within the last `window` seconds.
+
+    A report counts once: a copy that the network delivers later, seconds or leases later, says nothing of whom its
+    machine can reach now. Counted, late copies would speak for a leader's death or call for its place.
+    """
 
     def __init__(self, clock: Clock, window: Seconds) -> None:
         self._clock = clock
         self._window = window
         self._came: dict[MachineId, Instant] = {}
-
-    def came(self, machine: MachineId) -> None:
-        # Taken out first, so that the oldest visit stays in front.
-        self._came.pop(machine, None)
-        self._came[machine] = Instant(self._clock.seconds())
+        self._last: dict[MachineId, tuple[Instant, ReportVersion]] = {}
+
+    def came(self, machine: MachineId, version: ReportVersion) -> None:
+        now = Instant(self._clock.seconds())
+        last = self._last.pop(machine, None)
+        newest = last is None or version > last[1]
+        # Taken out first, so that the oldest stays in front.
+        self._last[machine] = (now, version) if last is None or newest else last
+        self._forget(now)
+        if newest:
+            self._came.pop(machine, None)
+            self._came[machine] = now
+
+    def _forget(self, now: Instant) -> None:
+        while self._last:
+            machine, (at, _) = next(iter(self._last.items()))
+            if at >= now - KEPT_WINDOWS * self._window:
+                break
+            del self._last[machine]
 
     def since(self, at: Instant) -> int:
         """How many came since then, of those within the window."""
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from meadowcross.common.types import MachineId
+from meadowcross.common.types import MachineId, ReportVersion
 from meadowcross.leadership.reach import Reach
 from meadowcross.workers.api import WorkerApi
 from meadowcross.workers.visitors import Visitors
@@ -31,16 +31,44 @@
 def test_a_follower_counts_the_workers_that_come_by(world):
     visitors = Visitors(world.clock, 4.0)
     api = WorkerApi(lambda: None, lambda: None, visitors)
-    for name in ("i-1", "i-2", "i-1"):
-        assert api.report(json.dumps({"stall": name}).encode()).status == 421
+    for name, tally in (("i-1", 1), ("i-2", 1), ("i-1", 2)):
+        assert api.report(json.dumps({"stall": name, "tenure": 1, "tally": tally}).encode()).status == 421
     assert api.report(b"{}").status == 400
     assert visitors.count() == 2
     world.clock.advance(3.0)
-    visitors.came(MachineId("i-1"))
+    visitors.came(MachineId("i-1"), ReportVersion(1, 3))
     world.clock.advance(2.0)
     assert visitors.count() == 1
 
 
+COPIES = [
+    # versions in the order in which they arrive, whether the last one counts as a visit
+    ("the next report", [(1, 4), (1, 5)], True),
+    ("a copy of the last", [(1, 4), (1, 4)], False),
+    ("a copy of an earlier one", [(1, 4), (1, 5), (1, 3)], False),
+    ("a copy from an earlier session", [(1, 9), (2, 1), (1, 8)], False),
+    ("a new session", [(1, 9), (2, 1)], True),
+]
+
+
+@pytest.mark.parametrize(("versions", "counts"), [c[1:] for c in COPIES], ids=[c[0] for c in COPIES])
+def test_a_late_copy_of_a_report_speaks_for_nobody(world, versions, counts):
+    """Neither here nor at the leader: copies would call for a leader's place, or speak for its death."""
+    visitors = Visitors(world.clock, 2.0)
+    term = busy(world)
+    (name, worker), *_ = world.workers.items()
+    world.reporting = False
+    heard = []
+    for session, seq in versions:
+        world.pass_time(3.0)
+        visitors.came(MachineId(name), ReportVersion(session, seq))
+        worker.session, worker.seq = session, 1000 + seq - 1
+        world.report(worker)
+        heard.append(term.roster.machines[name].reported_at if name in term.roster.machines else None)
+    assert (visitors.count() == 1) is counts
+    assert (heard[-1] == term.now) is counts
+
+
 def busy(world, heads=8):
     """A leader with tasks running on a few machines."""
     term = world.lead()
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -8,7 +8,6 @@
 import msgspec
 import pytest
 from msgspec import Raw
-from twisted.internet.defer import Deferred
 
 from lab.scenario import Fault, load
 from lab.world import Lab
@@ -396,6 +395,24 @@
     assert result["lost"] == 0
 
 
+@pytest.mark.parametrize("wait", [0.0, 10.0])
+def test_a_job_that_only_machines_know_stays_known_however_long_lost_jobs_are_waited_for(wait):
+    """Its tasks prove that it was submitted. Its user once got 503, for ever with 0, or 404 once time was up."""
+    world = lab([ALL, {"kind": "node_kill", "node": "all", "at_s": 30.0}], lost_wait_s=wait)
+    world.scenario.duration_s = 150.0
+    world.simulation.run(30.0)
+    ran = {job for job, tasks in world.judge._of_job.items() if tasks and world.judge.jobs[job].told != "done"}
+    assert len(ran) >= 3
+    asked = []
+    unknown = world.judge.unknown
+    world.judge.unknown = lambda job, status: (asked.append(status), unknown(job, status))
+    result = world.play()
+    assert result["lost"] == 0 and not any(one["rule"] in ("ran_twice", "invented") for one in result["broken"])
+    assert not [one for one in result["broken"] for job in ran if job in one["what"]]
+    # Nobody submitted these: while lost jobs are waited for that can't be known, then it is said.
+    assert (asked[-1] == 404) is (wait > 0)
+
+
 def test_a_snapshot_brings_back_what_no_node_knows_any_more(tmp_path):
     world = lab(
         [ALL | {"at_s": 31.0}, {"kind": "node_kill", "node": "all", "at_s": 31.0}],
