Machines that nothing reaches, starts told again, lonely nodes, and a floor under what is served

What began and has had nothing placed for 120 s goes on a task at a time, a twentieth of the machines at most.

--- a/lab/judge.py
+++ b/lab/judge.py
@@ -191,10 +191,10 @@
             seen.answered = now
             self.breaks("forgotten", f"no answer about {job} for {FORGOTTEN_S:.0f} s after all troubles")
         good = sum(1 for _, ok in self._polls if ok)
-        if status != 200 and seen.accepted is not None and now - seen.answered > POLLS_FAIL_S:
+        waited = seen.accepted is not None and now - seen.answered > POLLS_FAIL_S
+        if status != 200 and waited and good * 2 > len(self._polls):
             seen.answered = now
-            if good * 2 > len(self._polls):
-                self.breaks("forgotten", f"no answer about {job} for {POLLS_FAIL_S:.0f} s")
+            self.breaks("forgotten", f"no answer about {job} for {POLLS_FAIL_S:.0f} s")
 
     def check_cancelled(self, job: str) -> None:
         """Asked when the time that a cancellation has is over."""
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -341,6 +341,7 @@
             Trust(
                 lambda: eras.record is not None, eras.closed, eras.unknown_may_be_somebodys, to_leader,
                 follower.accepted if follower is not None else lambda key, value, mark: None, missing, elder,
+                lambda: eras.highest > (known[1] if (known := known_leader()) is not None else Token(0)),
                 eras.shown_by_machines,
             ),
         )  # fmt: skip
--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -178,6 +178,9 @@
         have begun again beside their images, were deleted when the cloud was back."""
         if not machine.silent_only or not machine.confirmed or self._leader.view.silent(machine):
             return False
+        if machine.deaf_since is not None:
+            self._leader.sender.greet(machine.id)
+            return False
         log.info("machine %s speaks again before it was deleted", machine.id)
         machine.condemned, machine.silent_only = None, False
         return True
@@ -256,7 +259,7 @@
         view = self._leader.view
         # Counted as soon as silence shows, or those silent first would be given up before the others.
         there = [x for x in self._leader.roster.machines.values() if x.up or x.presumed_at is not None]
-        heard = [(x.kind.zone, view.silent(x)) for x in there]
+        heard = [(x.kind.zone, view.silent(x) or x.deaf_since is not None) for x in there]
         told = DEAD_LISTED_S + 2 * LIST_FACTOR * self._facts.cloud.list_lag_s
         kept = patience(heard, self._operator.silent_s, told)
         for machine in list(self._leader.roster.machines.values()):
@@ -268,7 +271,9 @@
                 silence = view.silence(machine)
                 if found_us and silence > kept[machine.kind.zone]:
                     self.condemn(machine, f"silent for {silence:.1f} s", True)
-                elif view.silent(machine):
+                elif machine.deaf_since is not None and self._too_deaf(machine, kept[machine.kind.zone]):
+                    self.condemn(machine, "it reports, and nothing reaches it", True)
+                elif view.silent(machine) or machine.deaf_since is not None:
                     self._leader.sender.greet(machine.id)
             elif machine.placements or machine.addr is not None:
                 # It was up under an earlier leader: its worker may still look for the new one.
@@ -282,6 +287,14 @@
                 if waited > patience_s + 2 * self._facts.cloud.list_lag_s and now - self._began > 10.0:
                     self.condemn(machine, f"not up {waited:.0f} s after its rental")
 
+    def _too_deaf(self, machine: Machine, patience_s: Seconds) -> bool:
+        """Whether it is given up though it reports. If answers don't reach it either, its lease has run out and its
+        tasks are gone; if they do, what it runs may go on. It is kept for a lease, and as long again as a silent one
+        of its zone would be."""
+        assert machine.deaf_since is not None
+        runs = any((p.task, p.attempt) not in machine.open_starts for p in machine.placements.values())
+        return not runs and self.now - machine.deaf_since > self._facts.workers.lease_s + patience_s
+
     def _delete_condemned(self) -> None:
         doomed = [
             x.id
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -96,6 +96,9 @@
     """Told of a job that this node saw stored, and that the store does not know."""
     elder: Callable[[JobId], Awaitable[Answer | None]] = _nobody
     """What a node that has followed the store for longer says of a job that the store does not know."""
+    led_without_us: Callable[[], bool] = lambda: False
+    """Whether a worker has shown the token of a leader that we know nothing of: the state service elected it, so
+    there is no outage of all, even where no peer can tell us."""
     shown_by_machines: Callable[[JobId], bool] = lambda job: False
     """Whether machines had tasks of a job whose submission is lost."""
 
@@ -159,7 +162,7 @@
 
     def _alone(self) -> bool:
         """Whether the state service gives no answer to this node only."""
-        return self._store.failing_since is not None and self._peer_has_store()
+        return self._store.failing_since is not None and (self._peer_has_store() or self._trust.led_without_us())
 
     async def serve(self, operation: str, job: str, body: bytes) -> Answer:
         """By this node itself, for its own users or a peer's."""
--- a/meadowcross/jobs/book.py
+++ b/meadowcross/jobs/book.py
@@ -81,6 +81,10 @@
         self.gang_attempt: Attempt | None = None
         self.carried: dict[int, Seconds] = {}
         """Progress of earlier attempts that the next goes on from, where this leader saw it."""
+        self.begun = False
+        """Whether a task of it is or was placed, by any leader."""
+        self.by_age = False
+        """It went on with a task at a time when its turn did not come."""
         self.lost_at: Instant | None = None
         """When a task of it was last seen gone by this leader."""
         self.ending = False
@@ -125,6 +129,7 @@
         """Take over a stored chunk; yields the placements it holds."""
         for offset, entry in enumerate(entries):
             index = first + offset
+            self.begun = self.begun or entry != 0
             if isinstance(entry, int):
                 if entry == DONE:
                     self.done[index] = 1
@@ -227,6 +232,7 @@
             job.attempts[index] = max(attempt, job.attempts[index])
             placement = Placement(TaskId(job.id, index), attempt, machine, Phase.STORING, now)
             job.placed[index] = placement
+            job.begun = True
             if not job.waiting_count:
                 self.waiting.pop(job.id, None)
             self._count(job, 1)
@@ -239,6 +245,7 @@
             task = TaskId(job.id, index)
             placement = Placement(task, Attempt(attempt), MachineId(machine), Phase.INHERITED, now)
             job.placed[index] = placement
+            job.begun = True
             self._count(job, 1)
             return placement
 
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -24,6 +24,11 @@
 
 NO_LIMIT = 1e15
 ALMOST_DONE_S: Seconds = 3.0
+AGED_S: Seconds = 120.0
+"""A job of which no task ever began goes first for its start: half of the four minutes within which users count on the
+largest jobs to begin, so that the rest is left for its room to come free."""
+GO_ON_SHARE = 0.05
+"""Of so many jobs to a machine, at the most, a task is kept going although their turn does not come."""
 WARM_WAIT_S: Seconds = 2.0
 """A task that gives way is gone within a second; then its room may be taken."""
 
@@ -92,6 +97,7 @@
             and not machine.draining
             and machine.type is not None
             and machine.taken_at is None
+            and machine.deaf_since is None
             and machine.heard_at is not None
             and machine.heard_at >= heard_since
             and not self._health.suspect(machine.id)
@@ -167,8 +173,28 @@
             if job.probing and job.placed:
                 continue
             wants.append(self._want(job, now, spare, fastest))
+        self._keep_going(wants, now)
         return wants
 
+    def _keep_going(self, wants: list[Want], now: Instant) -> None:
+        """What began and has nothing placed for long goes on with a task at a time, the oldest first, a few jobs at
+        once: strict priority alone would never finish it while higher classes fill all there is."""
+        jobs = self._book.jobs
+        stalled = [want for want in wants if not want.aged and self._stalled(jobs[want.job], now)]
+        if not stalled:
+            return
+        going = sum(1 for job in jobs.values() if job.by_age and job.placed)
+        most = max(1, int(GO_ON_SHARE * len(self._roster.machines)))
+        for want in sorted(stalled, key=lambda want: jobs[want.job].submitted)[: max(0, most - going)]:
+            want.aged = jobs[want.job].by_age = True
+            if want.spec.kind is jm.Kind.ARRAY:
+                want.count = 1
+
+    @staticmethod
+    def _stalled(job: Job, now: Instant) -> bool:
+        waited = now - max(job.submitted, job.lost_at or 0.0)
+        return job.begun and not job.placed and not job.probing and waited > AGED_S
+
     def _guarantees_left(self) -> dict[str, float]:
         """What of each team's guarantee its placed tasks leave, in CPUs."""
         return {name: team.cpus - self._book.use_of(name).cpus + EPSILON for name, team in self._teams.items()}
@@ -185,12 +211,13 @@
             job.dues = self._aims.dues(spec)
         within = max(0, int(spare[spec.team] / spec.cpus))
         probing = job.probing
-        count = 1 if probing and not job.is_gang else job.waiting_count
+        aged = elapsed > AGED_S and not job.begun
+        count = 1 if (probing or (aged and spec.kind is jm.Kind.ARRAY)) and not job.is_gang else job.waiting_count
         want = Want(
             job.id, spec, count, job.rank, slack(job.dues, elapsed, run), job.retrying and not probing, within == 0,
             within,
         )  # fmt: skip
-        want.run_s = run
+        want.run_s, want.aged = run, aged
         want.fetch_s = fetch = spec.image_gb / fastest
         up_slack = self._aims.up_slack(spec, elapsed, want.retrying)
         want.start_slack = min(self._aims.start_slack(spec, elapsed), up_slack) - fetch
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -64,6 +64,8 @@
     """How long it may still wait, its image fetched, for its class's aim on the start."""
     run_s: Seconds = 0.0
     """How long one of its tasks is expected to run."""
+    aged: bool = False
+    """No task of it ever began, and it must begin soon: it goes first, an array with one task only."""
     fetch_s: Seconds = 0.0
     """How long its image takes to fetch, alone on the best machine type."""
     siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
@@ -160,9 +162,10 @@
     return spec.one_zone or spec.spread or talks(spec)
 
 
-def order(want: Want) -> tuple[int, bool, bool, Seconds, JobId]:
-    """Strictly by priority; then work inside a guarantee, retries, and least slack."""
-    return (want.rank, want.borrowing, not want.retrying, want.slack, want.job)
+def order(want: Want) -> tuple[bool, int, bool, bool, Seconds, JobId]:
+    """What has waited too long to begin at all; else strictly by priority; then work inside a guarantee, retries, and
+    least slack."""
+    return (not want.aged, want.rank, want.borrowing, not want.retrying, want.slack, want.job)
 
 
 class Hold(NamedTuple):
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -36,6 +36,8 @@
 """Ends of a tenth of what runs on the machines held are waited for: a few seconds."""
 HOLD_LEAST = 4.0
 LOWEST_RANK = max(RANK.values())
+AGED_RANK = min(RANK.values()) - 1
+"""Of a hold that nothing else may enter."""
 
 
 @dataclass(slots=True)
@@ -193,7 +195,8 @@
     is within the estimates' error, or others borrow what its team is guaranteed."""
     spec = want.spec
     return (
-        want.start_slack < HURRY_S
+        want.aged
+        or want.start_slack < HURRY_S
         or want.slack < HURRY_RUNS * want.run_s + HURRY_S
         or talks(spec)
         or (
@@ -242,6 +245,25 @@
     return held
 
 
+def room_for_aged(want: Want, short: int, offers: Iterable[Offer], holds: Mapping[MachineId, Hold]) -> list[MachineId]:
+    """Machines, where most is free already, to hold for a job that waited too long to begin: nothing else enters until
+    what runs there has left enough. One for each task that is short, so an array holds one."""
+    spec = want.spec
+    free = [
+        (offer.free_gpus if spec.gpus > 0 else 0.0, offer.free_cpus, offer.machine, offer.kind.zone)
+        for offer in offers
+        if allowed(spec, offer.kind) and offer.machine not in holds
+    ]
+    zones = set(want.in_zone()) or {zone for *_, zone in free}
+    groups = [[one for one in free if one[3] == zone] for zone in sorted(zones)] if spec.one_zone else [free]
+    best = max(
+        (sorted(group, key=lambda one: (-one[0], -one[1], one[2]))[:short] for group in groups),
+        key=lambda group: (len(group), sum(one[0] for one in group), sum(one[1] for one in group)),
+        default=[],
+    )
+    return [name for _, _, name, _ in best]
+
+
 class Asked(NamedTuple):
     """What gave way for a job, when, and how many of its tasks waited."""
 
@@ -310,6 +332,9 @@
             short = min(want.count - found.get(want.job, 0), rooms[want.spec.team].tasks(want.spec))
             if short <= 0 or want.job in self._under_way:
                 continue
+            if want.aged:
+                aged = room_for_aged(want, short, all_offers(), self.holds)
+                self.holds.update((name, Hold(want.job, AGED_RANK)) for name in aged)
             if want.rank >= LOWEST_RANK and want.guaranteed == 0:
                 continue
             asked = self._asked.get(want.job)
--- a/meadowcross/workers/commands.py
+++ b/meadowcross/workers/commands.py
@@ -101,8 +101,10 @@
             name = next(iter(self._to_greet))
             asked = self._to_greet.pop(name)
             machine = self._roster.machines.get(name)
-            # Who has answered or reported meanwhile needs no greeting any more.
-            if machine is not None and not (machine.confirmed and (machine.heard_at or 0.0) > asked):
+            # Who has answered or reported meanwhile needs no greeting any more, unless it is reports that come and
+            # nothing else that arrives.
+            heard = machine is not None and machine.confirmed and (machine.heard_at or 0.0) > asked
+            if machine is not None and (machine.deaf_since is not None or not heard):
                 self._greet.add(name)
                 self._kick(name)
                 sent += 1
@@ -134,6 +136,19 @@
         finally:
             self._busy.discard(machine_id)
 
+    def _unheard(self, machine: Machine, session: int) -> list[Placement]:
+        """What was started there without an answer, and is still wanted. Once such a task waited, on a machine that
+        was well again, until a leader came who had not sent it."""
+        return [
+            placement
+            for (task, attempt), at in machine.open_starts.items()
+            if at == session
+            and (placement := machine.placements.get(task)) is not None
+            and placement.attempt == attempt
+            and placement.phase is Phase.SENT
+            and placement.stop_at is None
+        ]
+
     async def _send(self, machine: Machine, starts: list[Placement], stops: list[Placement]) -> None:
         session = machine.version.session or machine.presumed_session or 1
         ready = []
@@ -143,6 +158,9 @@
             else:
                 self._on_unsent(placement)
         commands = [m.Command("start", str(p.task), p.attempt) for p in ready]
+        # Told again, an attempt that the worker has is left as it is. The first request may still arrive, so its start
+        # stays open: the task is known from now on, and never reaped.
+        commands += [m.Command("start", str(p.task), p.attempt) for p in self._unheard(machine, session)]
         commands += [m.Command("stop", str(p.task), p.attempt, p.grace) for p in stops]
         if machine.addr is None:
             return
@@ -155,6 +173,7 @@
             reply = await self._http.call("POST", machine.addr, "/commands", body, DIRECT_S)
         except NotSent as error:
             log.debug("%s not reached: %s", machine.id, error)
+            machine.deaf_since = machine.deaf_since or Instant(self._clock.seconds())
             self._roster.starts_closed(machine, sent)
             for placement in ready:
                 placement.phase = Phase.STORED
@@ -163,6 +182,7 @@
         except Unanswered as error:
             # The starts stay open: they may be carried out late, so their tasks stay
             # pinned to this machine until its session or our token is over there.
+            machine.deaf_since = machine.deaf_since or Instant(self._clock.seconds())
             log.info("%s gave no answer to %d starts: %s", machine.id, len(sent), error)
             return
         if reply.status not in (200, 409):
@@ -173,6 +193,7 @@
         except msgspec.DecodeError as error:
             log.error("%s answered what can't be read: %s", machine.id, error)
             return
+        machine.deaf_since = None
         # 200: carried out; 409: certainly not. Either way no start is open any more.
         self._roster.starts_closed(machine, sent)
         self._on_report(report)
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -107,6 +107,8 @@
         self.memory_gb = 0.0
         self.idle_since = now
         self.condemned: str | None = None
+        self.deaf_since: Instant | None = None
+        """Since when what we send it gets no answer, though it may report: nothing new is placed there."""
         self.silent_only = False
         """Condemned for nothing but its silence, and no deletion of it may still be under way."""
         self.draining = False
--- /dev/null
+++ b/tests/test_addition.py
@@ -0,0 +1,179 @@
+"""The operators' addition to the rules, with several nodes, machines and failures in the lab; each with a fault of our
+own that is found."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from lab.judge import BEGIN_S, FORGOTTEN_S, Judge, Spec
+from lab.scenario import Fault, load
+from lab.world import Lab
+from meadowcross.common.http import Answer
+from meadowcross.jobs.api import JobApi
+from meadowcross.leadership.term import Term
+from meadowcross.leadership.view import View
+from meadowcross.workers.roster import Roster
+from tests.test_lab import EXAMPLES, placements_forgotten
+
+WHERE = EXAMPLES[0].parent
+
+
+def lab(name, seed=1, faults=None):
+    scenario = load(str(WHERE / f"{name}.toml"))
+    if faults is not None:
+        scenario.faults = [msgspec.convert(fault, Fault) for fault in faults]
+    return Lab(scenario, seed)
+
+
+def ready(node):
+    handler, _ = node.router.find("GET", "/ready")
+    return handler(b"").status
+
+
+def test_a_lonely_leader_lets_its_workers_go_and_says_that_it_is_not_ready():
+    world = lab("lonely-leader")
+    world.simulation.run(17.9)
+    name = world.leader()
+    node = world.nodes[name]
+    old = node.term
+    world.simulation.run(26.0)
+    assert world.leader() not in (None, name)
+    assert old.stopped, "a report with the next leader's token ends it, though neither store nor peers can tell"
+    assert ready(node) == 503
+    new = world.nodes[world.leader()].term
+    assert sum(m.reported_at is not None for m in new.roster.machines.values()) == len(world.machines)
+    world.simulation.run(52.0)
+    assert ready(node) == 200, "it comes back by itself"
+    assert world.play()["broken"] == []
+
+
+MIX = [
+    {"kind": "report_copies", "at_s": 5.0, "for_s": 60.0, "factor": 14.0},
+    {"kind": "machine_deaf", "at_s": 12.0, "count": 2, "for_s": 25.0},
+    {"kind": "store_outage", "at_s": 20.0, "for_s": 6.0},
+    {"kind": "node_kill", "at_s": 22.0, "node": "leader", "back_s": 0.2},
+    {"kind": "machine_back", "at_s": 30.0, "count": 2, "back_s": 0.3},
+    {"kind": "node_cut", "at_s": 40.0, "node": "leader", "apart": "store", "for_s": 15.0},
+    {"kind": "node_cut", "at_s": 40.0, "node": "leader", "apart": "peers", "for_s": 15.0},
+    {"kind": "node_kill", "at_s": 58.0, "node": "all", "back_s": 0.5},
+    {"kind": "machine_back", "at_s": 59.0, "count": 1, "back_s": 0.1, "anew": False},
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_all_of_it_together(seed):
+    result = lab("quiet", seed, MIX).play()
+    assert result["broken"] == []
+    assert all(share >= 0.5 for shares in result["largest"].values() for share in shares)
+    assert all(share >= 0.5 for share in [*result["served"].values(), *result["served_teams"].values()])
+
+
+def test_who_goes_without_an_answer_is_found_however_others_fare():
+    clock = [0.0]
+    judge = Judge(lambda: clock[0], 40.0, {})
+    judge.quiet_from = 50.0
+    for job in ("wk-000001", "wk-000002"):
+        judge.submitted(Spec(job, "train", "a", "array", 1, 1.0, True, None, False, False))
+        judge.told(job, "pending")
+    while clock[0] < 50.0 + FORGOTTEN_S + 6.0:
+        clock[0] += 5.0
+        judge.polled("wk-000001", 503)
+        judge.polled("wk-000002", None)
+    assert {one["rule"] for one in judge.broken} == {"forgotten"} and len(judge.broken) == 2
+
+
+LARGEST = [
+    # tasks of the jobs of a class, when each began, the share of its largest that began in time
+    ("one small class", [3, 5], [1.0, BEGIN_S + 1.0], 0.0),
+    ("the largest only", [3] * 18 + [9, 9], [BEGIN_S + 1.0] * 18 + [1.0, BEGIN_S], 1.0),
+    ("never begun", [9], [None], 0.0),
+]
+
+
+@pytest.mark.parametrize(("tasks", "began", "share"), [one[1:] for one in LARGEST], ids=[one[0] for one in LARGEST])
+def test_the_largest_of_a_class_are_told_apart(tasks, began, share):
+    judge = Judge(lambda: 0.0, 40.0, {})
+    for number, (count, at) in enumerate(zip(tasks, began, strict=True)):
+        spec = Spec(f"wk-{number:06d}", "train", "a", "array", count, 1.0, True, None, False, False)
+        judge.submitted(spec).begun = at
+    assert judge.largest()["train"][1] == share
+
+
+# Deliberate faults of our own code, and where each is found
+
+
+def one_job_starved(monkeypatch):
+    asked = JobApi.query
+
+    async def query(self, job):
+        return Answer(503, b"{}") if job == "wk-000007" else await asked(self, job)
+
+    monkeypatch.setattr(JobApi, "query", query)
+
+
+def deaf_is_gone(monkeypatch):
+    """What commands don't reach counts as gone, though it reports."""
+    look = Term._on_tick
+
+    def tick(self):
+        for machine in list(self.roster.machines.values()):
+            for placement in list(machine.placements.values()) if machine.deaf_since is not None else []:
+                self.roster.detach(placement, self.book.jobs[placement.task.job].spec, self.now)
+                self.book.gone(placement)
+        look(self)
+
+    monkeypatch.setattr(Term, "_on_tick", tick)
+
+
+def copies_are_new(monkeypatch):
+    """Whatever arrives is taken for the newest report."""
+    take = Term._take
+
+    def taken(self, report):
+        machine = self.roster.machines.get(report.machine)
+        if machine is not None and report.token >= self.token:
+            machine.version = machine.version._replace(session=0, seq=0)
+        return take(self, report)
+
+    monkeypatch.setattr(Term, "_take", taken)
+
+
+def lonely_for_ever(monkeypatch):
+    """A lonely leader keeps its workers whatever token they show."""
+    apply = Roster.apply
+
+    def applied(self, machine, report, now):
+        return apply(self, machine, msgspec.structs.replace(report, token=min(report.token, self.token)), now)
+
+    monkeypatch.setattr(Roster, "apply", applied)
+
+
+def largest_starved(monkeypatch):
+    wants = View.wants
+    monkeypatch.setattr(View, "wants", lambda self: [want for want in wants(self) if want.spec.tasks < 12])
+
+
+FAULTS = [
+    (one_job_starved, "quiet", None, "forgotten"),
+    (deaf_is_gone, "one-way-machines", None, "ran_twice"),
+    (copies_are_new, "late-copies", None, "ran_twice"),
+    (lonely_for_ever, "lonely-leader", None, "lost"),
+    (largest_starved, "quiet", [], "largest"),
+    (placements_forgotten, "back-at-once", None, "ran_twice"),
+]
+
+
+@pytest.mark.parametrize(("fault", "name", "faults", "shown"), FAULTS, ids=[fault[0].__name__ for fault in FAULTS])
+def test_a_deliberate_fault_is_found(monkeypatch, fault, name, faults, shown):
+    sound = lab(name, 1, faults).play()["lost"] if shown == "lost" else 0
+    fault(monkeypatch)
+    result = lab(name, 1, faults).play()
+    found = {one["rule"] for one in result["broken"]}
+    if any(share < 1.0 for share in result["served"].values()):
+        found.add("unserved")
+    if any(share < 0.5 for shares in result["largest"].values() for share in shares):
+        found.add("largest")
+    if result["lost"] > sound:
+        found.add("lost")
+    assert shown in found
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -127,6 +127,43 @@
     assert [v.grace for _, group in chosen for v in group] == graces
 
 
+AGED = [
+    # kind, one zone, what is free on four machines (two in each zone), which are held
+    ("an array needs one", "batch", False, [1.0, 2.0, 0.0, 1.5], {"e2"}),
+    ("a gang of two", "group", False, [1.0, 2.0, 0.0, 1.5], {"e2", "w2"}),
+    ("a gang of two in one zone", "group", True, [1.0, 2.0, 0.0, 2.5], {"e1", "e2"}),
+]
+
+
+@pytest.mark.parametrize(("kind", "one_zone", "free", "held"), [a[1:] for a in AGED], ids=[a[0] for a in AGED])
+def test_a_job_that_waited_too_long_to_begin_gets_machines_that_nothing_else_enters(kind, one_zone, free, held):
+    """Among many small urgent ones a large one never found room: each piece was refilled before it was large enough."""
+    asked = want(heads=2, count=1 if kind == "batch" else 2, rank=3, breed=kind, oneZone=one_zone, cpus=4.0)
+    asked.aged = True
+    names = ["e1", "e2", "w1", "w2"]
+    offers = [
+        offer(name, cpus=cpus, zone="east" if name[0] == "e" else "west")
+        for name, cpus in zip(names, free, strict=True)
+    ]
+    giving = GivingWay(Operator())
+    assert not giving.choose(
+        [asked], {}, lambda: offers, lambda there: offers, rooms(), lambda rank, guaranteed: [], lambda w: False,
+        lambda key: True, Instant(1.0),
+    )  # fmt: skip
+    assert set(giving.holds) == held
+    urgent = want(id="wk-000009", heads=9, rank=0, cpus=1.0, memoryGb=0.0)
+    (choice,) = place(offers, [urgent, asked], rooms(), Operator(), giving.holds)
+    assert not held & set(choice.machines), "not even the most urgent"
+
+
+def test_what_waited_too_long_goes_first_and_within_its_limit():
+    old, urgent = want(heads=1, rank=3, steward="a"), want(id="wk-000002", heads=1, rank=0)
+    old.aged = True
+    for limit, first in ((4.0, "wk-000001"), (0.5, "wk-000002")):
+        choices = place([offer("m", cpus=1.0)], [urgent, old], rooms(a=limit), Operator())
+        assert [choice.job for choice in choices] == [first]
+
+
 def test_a_replica_that_is_missed_takes_room_where_its_image_is_and_no_other():
     asked = want(heads=2, count=1, rank=0, breed="daemon", scatter=True, siblings={MachineId("w"): ("west", 1)})
     asked.warm_only, asked.fetch_s, asked.start_slack = True, 30.0, -30.0
--- a/tests/test_rebuild.py
+++ b/tests/test_rebuild.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 from msgspec import Raw
+from twisted.internet.defer import Deferred
 
 from lab.scenario import Fault, load
 from lab.world import Lab
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -63,7 +63,7 @@
     world.workers = {}
     away = world.net.hosts.pop(worker.machine["addr"])
     world.cloud.trouble = fault == "trouble"
-    world.net.faults = [("cloud:1/rentals/delete", fault)] * 9 if fault != "trouble" else []
+    world.net.faults = [("cloud:1/rentals/delete", fault)] * 99 if fault != "trouble" else []
     world.pass_time(12.0)
     machine = term.roster.machines[name]
     assert machine.condemned is not None
@@ -73,3 +73,44 @@
     world.pass_time(6.0)
     assert (name not in world.cloud.deleted) is kept
     assert world.running() == ["wk-000001/0"]
+
+
+def test_a_machine_that_reports_and_that_nothing_reaches_gets_no_work_and_is_given_up_when_it_is_of_no_use(world):
+    term = world.lead()
+    world.submit(heads=1, builds=["small"], cpus=4.0, grazeS=600.0, sundownS=None)
+    world.pass_time(6.0)
+    ((name, worker),) = world.workers.items()
+    away = world.net.hosts.pop(worker.machine["addr"])
+    worker.obey = lambda calls: None
+    world.run(world.api().cancel("wk-000001"))
+    world.pass_time(1.0)
+    worker.tasks, worker.session = {}, 2
+    world.pass_time(2.0)
+    machine = term.roster.machines[name]
+    assert machine.deaf_since is not None and not term.view.offerable(machine) and machine.condemned is None
+    world.net.hosts[worker.machine["addr"]] = away
+    world.pass_time(3.0)
+    assert term.view.offerable(machine), "taken back when answers arrive"
+    world.net.hosts.pop(worker.machine["addr"])
+    term.fleet._leader.sender.greet(name)
+    machine.deaf_since = term.now
+    world.pass_time(30.0, 0.25)
+    assert name in world.cloud.deleted
+
+
+def test_a_start_without_an_answer_is_told_again_once_its_machine_answers(world):
+    """It waited on a machine that was well again until the next leader came."""
+    term = world.lead()
+    world.net.faults = [("i-000000:9000/commands", "late")] * 3
+    world.submit(heads=1, builds=["small"], grazeS=600.0)
+    world.pass_time(8.0)
+    assert world.running() == ["wk-000001/0"]
+    (worker,) = (w for w in world.workers.values() if w.tasks)
+    machine = term.roster.machines[worker.machine["id"]]
+    assert machine.open_starts, "the first request may still arrive"
+    for key in list(worker.tasks):
+        worker.end(key)
+    world.pass_time(3.0)
+    assert worker.tasks, "so it is never reaped"
+    world.net.deliver_late()
+    assert world.running() == [] and len(worker.started) == 1
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -43,6 +43,29 @@
     assert [want.warm_only for want in view.wants()] == [warm_only]
 
 
+BEGIN = [
+    # kind, seconds since its submission, attempts so far, whether it must begin, and with how many tasks
+    ("not yet", "batch", 100.0, [0, 0], (False, 2)),
+    ("an array", "batch", 130.0, [0, 0], (True, 1)),
+    ("a gang, all of it", "group", 130.0, [0, 0], (True, 2)),
+    ("begun, and lost again", "batch", 130.0, [1, 0], (False, 2)),
+]
+
+
+@pytest.mark.parametrize(("kind", "elapsed", "attempts", "expected"), [b[1:] for b in BEGIN], ids=[b[0] for b in BEGIN])
+def test_what_never_began_must_begin_within_four_minutes(kind, elapsed, attempts, expected):
+    clock = Clock()
+    clock.advance(100.0 + elapsed)
+    facts = msgspec.convert(SETTINGS, Settings).facts
+    types = decode_types(encode({"builds": TYPES})).types
+    book = Book()
+    waits = book.add(JobRecord(msgspec.convert(job(breed=kind), JobSpec), WallTime(100.0)), Mark(1))
+    list(waits.load_chunk(0, attempts))
+    book.rebuild_waiting(waits)
+    view = View(clock, facts, lambda: types, book, Roster(Token(1)), Health(bool), MeanRuns())
+    assert [(want.aged, want.count) for want in view.wants()] == [expected]
+
+
 LOST = [
     # kind, image in GB at 1 GB a second, seconds since it was lost, whether only warm room is taken, whether in a hurry
     ("a replica just lost", "daemon", 30.0, 1.0, True, True),
