--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -636,14 +636,16 @@
             return wm.Response(self.token, []) if report.token <= self.token else None
         if self.fleet.is_deleted(report.machine):
             return wm.Response(self.token, [])
+        known = self.roster.machines.get(report.machine)
+        # A copy that comes late says nothing of whom its machine reaches now.
+        copy = known is not None and report.version <= known.version
         try:
             newest = self._take(report)
         except HigherToken as error:
             self._election.stand_down(str(error))
             return None
         machine = self.roster.machines[report.machine]
-        if machine.heard_at == self.now:
-            # Not a copy that comes late: that says nothing of whom its machine reaches now.
+        if not copy:
             machine.reported_at = self.now
         return wm.Response(self.token, commands_for(machine, self.book) if newest else [])
 
@@ -662,10 +664,9 @@
         was_confirmed = machine.confirmed
         notice = machine.taken_at
         session = machine.version.session
-        silent = machine.up and self.view.silent(machine)
-        outcomes = self.roster.apply(machine, report, self.now)
-        if silent and machine.heard_at == self.now:
+        if machine.up and self.view.silent(machine) and report.version > machine.version:
             machine.silent_until = self.now
+        outcomes = self.roster.apply(machine, report, self.now)
         if outcomes is not None and (machine.strays or machine.exited):
             if self._unsettled():
                 self._claim(machine)
