--- a/measure/day.py
+++ b/measure/day.py
@@ -58,6 +58,13 @@
     ended: float | None = None
     standing: str = "open"
     runs: list[Ran] = field(default_factory=list)
+    began: dict[int, float] = field(default_factory=dict)
+    """When each task was first seen running."""
+
+    @property
+    def endless(self) -> bool:
+        """A service: it runs until it is cancelled."""
+        return self.estimate_s == 0
 
     @property
     def run_s(self) -> list[float]:
@@ -114,6 +121,8 @@
             )  # fmt: skip
         elif found := RUNS.match(text):
             # A new leader tells anew of what it finds running.
+            if found[1] in day.jobs:
+                day.jobs[found[1]].began.setdefault(int(found[2]), at)
             if running.get((found[1], int(found[2])), ("", 0.0))[0] != found[3]:
                 running[found[1], int(found[2])] = (found[3], at)
         elif found := DONE.match(text):
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -205,6 +205,8 @@
     (tmp_path / "day.log").write_text("\n".join(LOG))
     assert served.main([str(tmp_path / "report"), str(tmp_path / "day.log"), "--json"]) == status
     told = json.loads(capsys.readouterr().out)
+    big = {"largest of train, done": 1.0, "largest of train, begun within 240 s": 1.0}
+    assert {name: told["served"].pop(name) for name in big} == big
     assert set(told["served"]) == {"class train", "team a"} and told["thrown_away"] == {"train: stopped": 1}
     (tmp_path / "report").write_text("{")
     assert served.main([str(tmp_path / "report")]) == 2
