--- a/measure/served.py
+++ b/measure/served.py
@@ -1,9 +1,9 @@
 """What a day served, by class and by team: `python3 -m measure.served REPORT [LOG] [--json]`.
 
 REPORT is the JSON that the bench writes of a run: under `classes`, by name, `jobs`, `done` and `cancelled`; under
-`teams`, `jobs` and `started`. A share is of the jobs that their users did not cancel; services count once started. With LOG (see `measure.day`) it
-also counts starts thrown away: stopped or lost within 30 s, or before they ran, by class and by why.
-Exit status 1 if a class or a team was served less than half.
+`teams`, `jobs` and `started`. A share is of the jobs that their users did not cancel; services count once started.
+With LOG (see `measure.day`) it also tells how each class's largest jobs fared, and counts starts thrown away: stopped
+or lost within 30 s, or before they ran, by class and by why. Exit status 1 if any share is less than half.
 """
 
 from __future__ import annotations
