Lab: a gang completes together, also where a machine went in that moment

By the protocol all of a gang are done if one is, so the next attempt ends at once; the stand-in kept it by task.

Change: the stand-in marks all of a gang.

--- a/lab/machines.py
+++ b/lab/machines.py
@@ -359,7 +359,9 @@
         if run.timer is not None and run.timer.active():
             run.timer.cancel()
         if why == "done":
-            run.work.done.add(run.number)
+            # A gang completes together: if one task is done, all are, also one whose machine went in that moment.
+            together = run.work.spec["breed"] == "group"
+            run.work.done.update(range(run.work.spec["heads"]) if together else [run.number])
         else:
             self._checkpoint(run)
         spec = run.work.spec
