--- a/lab/world.py
+++ b/lab/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 from collections import Counter
 from typing import Any
@@ -48,6 +49,8 @@
 
 class Lab:
     def __init__(self, scenario: Scenario, seed: int, keep: bool = False) -> None:
+        # What an earlier world left unfinished ends now: ended within this one's play, it would draw from its numbers.
+        gc.collect()
         # Twisted draws the jitter of its reconnections from here.
         random.seed(seed)
         self.scenario = scenario
