--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -221,11 +221,10 @@
         want.fetch_s = fetch = spec.image_gb / fastest
         up_slack = self._aims.up_slack(spec, elapsed, want.retrying)
         want.start_slack = min(self._aims.start_slack(spec, elapsed), up_slack) - fetch
-        if constrained(spec):
-            want.warm_only = up_slack <= 0 and self._lost_lately(job, now, fetch)
-        else:
+        if not constrained(spec):
             want.warm_only = self._warm_only(spec, elapsed, fetch)
-        if constrained(spec):
+        else:
+            want.warm_only = up_slack <= 0 and self._lost_lately(job, now, fetch)
             for placement in job.placed.values():
                 machine = self._roster.machines.get(placement.machine)
                 zone = machine.kind.zone if machine else ""
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -65,7 +65,7 @@
     run_s: Seconds = 0.0
     """How long one of its tasks is expected to run."""
     aged: bool = False
-    """No task of it ever began, and it must begin soon: it goes first, an array with one task only."""
+    """No task of it ever began, or none has gone on for long: it goes first, an array with one task."""
     fetch_s: Seconds = 0.0
     """How long its image takes to fetch, alone on the best machine type."""
     siblings: dict[MachineId, tuple[str, int]] = field(default_factory=dict)
