--- a/lab/judge.py
+++ b/lab/judge.py
@@ -196,6 +196,18 @@
             seen.answered = now
             self.breaks("forgotten", f"no answer about {job} for {POLLS_FAIL_S:.0f} s")
 
+    def cancelling(self, job: str) -> None:
+        self.jobs[job].cancel_asked = self._now()
+
+    def cancels(self) -> dict[str, Any]:
+        """How many cancels were asked for and told, and in seconds how long users waited for the word."""
+        asked = [seen for seen in self.jobs.values() if seen.cancel_asked is not None]
+        waits = [seen.cancel_told - (seen.cancel_asked or 0.0) for seen in asked if seen.cancel_told is not None]
+        return {
+            "asked": len(asked), "told": len(waits), "late": sum(wait > 1.0 for wait in waits),
+            "longest_s": round(max(waits, default=0.0), 3),
+        }  # fmt: skip
+
     def check_cancelled(self, job: str) -> None:
         """Asked when the time that a cancellation has is over."""
         if self.is_on(job):
--- a/lab/machines.py
+++ b/lab/machines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -70,6 +71,10 @@
         self.on_start: Callable[[int], None] = lambda token: None
         self.copy_after: float | None = None
         """Seconds after which the network delivers each report once more, to any node."""
+        self.hold = (0.0, 0.0)
+        """Of direct commands, the share that is held up, and for about how long; their senders have given up."""
+        self.late: Counter[str] = Counter()
+        """What came of those: carried out or refused, and starts of tasks whose user has cancelled their job."""
         self.courier: HttpClient | None = None
         """Who delivers what outlives its sender."""
 
@@ -211,15 +216,30 @@
         if self.deaf:
             return Deferred()
         if path == "/commands":
-            request = json.loads(body)
-            if "crook" not in request or "tenure" not in request:
-                return 400, {}
-            if request["crook"] < self.token or request["tenure"] != self.session:
-                return 409, self.report()
-            self._see(request["crook"])
-            if any(call["call"] == "start" for call in request["calls"]):
-                self._world.on_start(request["crook"])
-            self.obey(request["calls"])
+            share, for_s = self._world.hold
+            if share and self._world.simulation.random.random() < share:
+                wait = for_s * self._world.simulation.random.uniform(0.2, 1.8)
+                self._reactor.callLater(wait, self._commanded, json.loads(body), True)
+                return Deferred()
+            return self._commanded(json.loads(body), False)
+        return 200, self.report()
+
+    def _commanded(self, request: dict[str, Any], late: bool) -> Answer:
+        if "crook" not in request or "tenure" not in request:
+            return 400, {}
+        good = request["crook"] >= self.token and request["tenure"] == self.session
+        starts = [call["head"] for call in request["calls"] if call["call"] == "start"]
+        if late:
+            self._world.late["carried out" if good else "refused"] += 1
+            told = self._world.judge.jobs
+            cancelled = [name for name in starts if told[name.rpartition("/")[0]].cancel_asked is not None]
+            self._world.late["started though cancelled"] += len(cancelled) if good else 0
+        if not good:
+            return 409, self.report()
+        self._see(request["crook"])
+        if starts:
+            self._world.on_start(request["crook"])
+        self.obey(request["calls"])
         return 200, self.report()
 
     def obey(self, calls: list[dict[str, Any]]) -> None:
--- a/lab/net.py
+++ b/lab/net.py
@@ -361,6 +361,8 @@
         self.dead = False
         self.frozen_until = 0.0
         self.busy_until = 0.0
+        self.ahead_s = 0.0
+        """Of true time, its clock."""
         self.cost_s = 0.0
         """What each timer and packet takes of this process's time."""
         self.open: dict[Transport, None] = {}
@@ -379,12 +381,13 @@
         raise NotImplementedError
 
     def seconds(self) -> float:
-        return self.simulation.now
+        return self.simulation.now + self.ahead_s
 
     def callLater(self, delay: float, callable: Callable[..., Any], *args: object, **kw: object) -> DelayedCall:
         call = DelayedCall(
-            self.simulation.now + max(0.0, delay), callable, args, kw, lambda call: None, self._again, self.seconds
-        )
+            self.simulation.now + max(0.0, delay), callable, args, kw, lambda call: None, self._again,
+            lambda: self.simulation.now,
+        )  # fmt: skip
         self.simulation.push(call.time, self, call)
         return call
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -71,7 +71,7 @@
 FaultKind = Literal[
     "node_kill", "node_freeze", "node_slow", "node_cut", "peers_refuse", "store_outage", "store_slow", "store_refuses",
     "store_late", "kill_after_write", "zone_cut", "machine_die", "machine_hang", "machine_cut", "capacity",
-    "store_loss", "machine_deaf", "machine_back", "report_copies",
+    "store_loss", "machine_deaf", "machine_back", "report_copies", "late_writes", "late_commands", "cloud_outage",
 ]  # fmt: skip
 
 
@@ -92,6 +92,8 @@
     count: _Count | None = None
     zone: str | None = None
     factor: Annotated[float, Meta(ge=0, le=1000)] | None = None
+    share: _Share | None = None
+    """Of transactions, or of direct commands, that are carried out late and never answered."""
     prefix: str | None = None
     what: Literal["all", "back", "prefix", "keys", "older"] | None = None
     """What is lost: everything; the last `for_s`; all below `prefix`; `count` keys; their last versions."""
@@ -117,6 +119,9 @@
     "machine_deaf": ("count", "for_s"),
     "machine_back": ("count", "back_s"),
     "report_copies": ("for_s", "factor"),
+    "late_writes": ("share", "for_s"),
+    "late_commands": ("share", "for_s", "factor"),
+    "cloud_outage": ("for_s",),
     "capacity": ("factor", "for_s"),
     "store_loss": ("what",),
 }
@@ -156,6 +161,8 @@
     cloud: Cloud = field(default_factory=Cloud)
     workers: Workers = field(default_factory=Workers)
     operator: dict[str, float] = {}
+    clocks_s: list[Annotated[float, Meta(ge=-3600, le=3600)]] = []
+    """By how much the nodes' clocks are ahead, in their order; 0 for those that are left out."""
     faults: list[Fault] = []
 
 
--- a/lab/services.py
+++ b/lab/services.py
@@ -15,6 +15,7 @@
 from lab.standins import CloudService, StateService
 
 DEAD_LISTED_S = 30.0
+LATE_WRITE_S = (2.0, 12.0)
 BURST_S = 1.0
 
 
@@ -49,6 +50,9 @@
         self.refused: set[str] = set()
         self.late: list[float] = []
         """For each of the next transactions that store tasks: how much later than asked it is applied, unanswered."""
+        self.late_share = 0.0
+        """Of all other transactions: no answer, and carried out within `LATE_WRITE_S`, after newer ones."""
+        self.late_applied = self.late_refused = 0
         self.on_written: Callable[[str, dict[str, Any]], bool] = lambda caller, request: True
         """Told of each transaction that wrote; False: its answer is lost."""
         self.requests = self.written = self.refusals = 0
@@ -143,6 +147,10 @@
         if path == "/multi" and self.late and any(str(w.get("write")).startswith("t/") for w in request["writes"]):
             self._reactor.callLater(self.late.pop(0), self._apply, caller, request, None)
             return answer
+        random = self._reactor.simulation.random
+        if writes and self.late_share and random.random() < self.late_share:
+            self._reactor.callLater(random.uniform(*LATE_WRITE_S), self._apply, caller, request, None)
+            return answer
         took = self._takes()
         if path == "/multi":
             self._reactor.callLater(took / 2, self._apply, caller, request, answer)
@@ -162,6 +170,9 @@
             return
         result = self.service.transact(request)
         told = True
+        if answer is None:
+            self.late_applied += result[0] == 200
+            self.late_refused += result[0] != 200
         if result[0] == 200 and request["writes"]:
             self.written += len(request["writes"])
             told = self.on_written(caller, request)
--- a/lab/users.py
+++ b/lab/users.py
@@ -94,8 +94,7 @@
             self._judge.refused(job, status)
 
     async def _cancel(self, job: str) -> None:
-        seen = self._judge.jobs[job]
-        seen.cancel_asked = self.now
+        self._judge.cancelling(job)
         status, value = await self._insist(f"/v1/jobs/{job}/withdraw", b"", (200, 404))
         if status == 404:
             self._judge.polled(job, 404)
--- a/lab/world.py
+++ b/lab/world.py
@@ -14,7 +14,7 @@
 from lab.machines import Machine, Work, World
 from lab.net import START, Cut, Host, Simulation
 from lab.scenario import Fault, Jobs, Scenario
-from lab.services import Rentals, Store
+from lab.services import LATE_WRITE_S, Rentals, Store
 from lab.users import Users
 from meadowcross.app import Node
 from meadowcross.common.http import HttpClient
@@ -43,7 +43,8 @@
 
 def over(fault: Fault) -> float:
     """When a trouble and what it leaves under way are over."""
-    copies = 2 * (fault.factor or 0.0) if fault.kind == "report_copies" else 0.0
+    copies = 2 * (fault.factor or 0.0) if fault.kind in ("report_copies", "late_commands") else 0.0
+    copies = LATE_WRITE_S[1] if fault.kind == "late_writes" else copies
     return fault.at_s + (fault.for_s or 0.0) + (fault.back_s if fault.back_s is not None else BACK_S) + copies
 
 
@@ -123,6 +124,7 @@
 
     def boot(self, name: str) -> None:
         reactor = self.simulation.boot(self.simulation.hosts[name])
+        reactor.ahead_s = dict(zip(self.names, self.scenario.clocks_s, strict=False)).get(name, 0.0)
         node = self.nodes[name] = Node(reactor, self.settings(name), Operator(**self.scenario.operator))  # type: ignore[arg-type]
         node.start()
 
@@ -300,6 +302,15 @@
             case "report_copies":
                 self.world.copy_after = fault.factor
                 later(for_s, lambda: setattr(self.world, "copy_after", None))
+            case "late_writes":
+                store.late_share = fault.share or 0.0
+                later(for_s, lambda: setattr(store, "late_share", 0.0))
+            case "late_commands":
+                self.world.hold = (fault.share or 0.0, fault.factor or 0.0)
+                later(for_s, lambda: setattr(self.world, "hold", (0.0, 0.0)))
+            case "cloud_outage":
+                self.cloud.trouble = True
+                later(for_s, lambda: setattr(self.cloud, "trouble", False))
             case "store_loss":
                 store.lose(fault.what or "all", for_s, fault.prefix or "", fault.count or 0)
             case "capacity":
@@ -354,6 +365,7 @@
             "served_teams": teams,
             "largest": self.judge.largest(),
             "takeovers": [msgspec.to_builtins(one) for one in self.takeovers],
+            "cancels": self.judge.cancels(),
             "started": self.judge.started,
             "lost": self.judge.lost,
             "store": {"requests": self.store.requests, "written": self.store.written, "refused": self.store.refusals},
