A user hears `cancelled` only when nothing can keep the tasks

Cause: a cancel was answered as soon as it was stored, and the leader hears of it by its watch, which stands still when the state service refuses it alone. In the outage that followed it answered its workers, and such tasks ran past cancel_s.

Change: leadership/cancels.py tells stored cancels to the leader whose key is in the store at or after the cancel's revision (one comparison under the era's condition ties them), in batches, again until it answers; other nodes keep the word, as any may lead next. The leader takes it in where its watch does, stops the tasks without the store, and answers for jobs whose placements are all gone or on machines that know its token and have no start under way: those hear nobody who does not know of the cancel. Else the user gets 503 and repeats; nothing placed on record is sure as well. A term that has read nothing yet stops what it knows to be cancelled. A cancel by a clock that is ahead puts off no deletion.

test_lookup: the row that took a stored cancel for final was wrong by the new rule; it now asserts that it is told apart, never answered from memory, and final once confirmed.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -96,6 +96,7 @@
         from meadowcross.fleet.cloud import Cloud
         from meadowcross.jobs.api import Forward, JobApi, Trust
         from meadowcross.jobs.messages import Progress
+        from meadowcross.leadership.cancels import Cancels
         from meadowcross.leadership.election import Election, Successor
         from meadowcross.leadership.messages import Beat, LeaderRecord
         from meadowcross.leadership.peerlink import PeerLink
@@ -154,6 +155,7 @@
                 hearer.take(token) if follower is not None else None,
                 self.rebuild,
                 not (self.election.seasoned or any(one.seasoned for one in self.link.fresh_beats())),
+                cancels.is_told,
             )
             self.term = term
             self._teller = Teller(node, token, same) if follower is not None else None
@@ -308,9 +310,11 @@
             if self.standby is not None:
                 self.standby.peer_lost(peer)
 
+        cancels = Cancels(reactor, self.store, current_term, known_leader, lambda *told: self.link.ask_cancels(*told))
         hearer = Hearer(reactor, same, lambda leader: self.link.tell(HintsWanted(node), leader))
         self.link = PeerLink(
-            reactor, settings.peers, beat, own_progress, on_beat, serve, on_replica, on_lost, be_handed, picture_part
+            reactor, settings.peers, beat, own_progress, on_beat, serve, on_replica, on_lost, be_handed, picture_part,
+            cancels.heard,
         )
         self.audit = Audit(reactor, self.store, eras, follower, our_audit) if follower is not None else None
         self.rebuild = Rebuild(
@@ -342,7 +346,7 @@
                 lambda: eras.record is not None, eras.closed, eras.unknown_may_be_somebodys, to_leader,
                 follower.accepted if follower is not None else lambda key, value, mark: None, missing, elder,
                 lambda: eras.highest > (known[1] if (known := known_leader()) is not None else Token(0)),
-                eras.shown_by_machines,
+                eras.shown_by_machines, cancels.confirm, cancels.released,
             ),
         )  # fmt: skip
         api.routes(self.router)
--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -15,7 +15,7 @@
 from meadowcross.common.types import EPSILON, JobId, Mark, WallTime
 from meadowcross.fleet.messages import MachineType
 from meadowcross.jobs import messages as m
-from meadowcross.jobs.lookup import Followed, Lookup
+from meadowcross.jobs.lookup import Followed, Lookup, Open
 from meadowcross.store import messages as sm
 from meadowcross.store.budget import Urgency
 from meadowcross.store.client import Conflicted, Refused, StoreClient, Unavailable, Unknown
@@ -79,6 +79,10 @@
     return None
 
 
+async def _unconfirmed(job: JobId, mark: Mark) -> bool:
+    return False
+
+
 @dataclass(frozen=True, slots=True)
 class Trust:
     """Whether the state service still holds what was stored in it, as far as requests need to know."""
@@ -101,6 +105,10 @@
     there is no outage of all, even where no peer can tell us."""
     shown_by_machines: Callable[[JobId], bool] = lambda job: False
     """Whether machines had tasks of a job whose submission is lost."""
+    confirm: Callable[[JobId, Mark], Awaitable[bool]] = _unconfirmed
+    """Whether who leads has taken in a cancel, stored at this version, and nothing can keep the job's tasks."""
+    released: Callable[[JobId], bool] = lambda job: False
+    """The same, as already known here."""
 
 
 class JobApi:
@@ -127,7 +135,7 @@
         self._progress = progress
         self._peer_has_store = peer_has_store
         self._forward = forward
-        self._lookup = Lookup(clock, store, followed, self._trust.missing)
+        self._lookup = Lookup(clock, store, followed, self._trust.missing, self._trust.released)
         self._standing = standing
         self._open = Counter[str]()
         self._chunk = max(1, store.max_value // 64)
@@ -264,6 +272,8 @@
         if isinstance(found, m.EndedRecord):
             done = found.tasks if found.standing is m.Standing.DONE else 0
             return answer_of(job, found.standing, done, 0)
+        if found.cancelled:
+            return await self._cancelled(job, found)
         done, running, ends = await self._progress(job) or m.Progress(0, 0)
         # All tasks done but not yet stored as such: not done for the user.
         done = min(done, found.tasks - 1) if running == 0 else done
@@ -296,12 +306,14 @@
                 return self._unknown()
             if isinstance(found, m.EndedRecord):
                 return answer_of(job, found.standing, 0, 0)
+            if found.cancelled:
+                return await self._cancelled(job, found)
             item = await self._store.get(m.open_key(job))
             if item is None:
                 continue
             record = m.decode_record(item.value)
             if record.cancelled is not None:
-                return answer_of(job, m.Standing.CANCELLED, 0, 0)
+                return await self._cancelled(job, self._lookup.seen(job, item))
             record.cancelled = WallTime(self._clock.seconds())
             value = sm.raw(record)
             try:
@@ -316,10 +328,26 @@
                 continue
             log.info("job %s cancelled", job)
             self._trust.accepted(m.open_key(job), value, mark)
-            self._lookup.ended(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
-            return answer_of(job, m.Standing.CANCELLED, 0, 0)
+            return await self._cancelled(job, self._lookup.opened(job, mark, record.spec.tasks, True))
         return reason(503, "the job is changing", RETRY_AFTER_S)
 
+    async def _cancelled(self, job: JobId, found: Open) -> Answer:
+        """Its cancel is stored at this version, which is no end of it: a leader whom the state service refuses alone
+        learns nothing by its watch, and kept such tasks for as long as all were without the store. So the user hears
+        of it once nothing can keep them: who leads has said so, or nothing was placed when it was stored."""
+        sure = await self._trust.confirm(job, found.mark)
+        if not sure and isinstance(ended := await self._lookup.find(job), m.EndedRecord):
+            # It was faster than we asked: all its tasks are proven gone.
+            return answer_of(job, ended.standing, 0, 0)
+        if not sure and not self._trust.unknown_may_be_somebodys():
+            sure = await self._lookup.unplaced(job, found.mark)
+        if not sure:
+            log.info("job %s: its cancel is stored and not told yet, as its tasks may still be kept", job)
+            return reason(503, "the cancel is stored, and its tasks may still be kept", RETRY_AFTER_S)
+        log.info("job %s: its user is told of the cancel", job)
+        self._lookup.cancelled(job, found.tasks)
+        return answer_of(job, m.Standing.CANCELLED, 0, 0)
+
     async def _cancel_unrecorded(self, job: JobId) -> Answer:
         """Its submission is lost and machines run its tasks: ended, so that they are stopped as any job's that is
         over."""
--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -31,6 +31,9 @@
 RANGE_FROM = 8
 """So many unknown open jobs are cheaper to read as a range than one by one."""
 MAX_REMEMBERED = 5_000
+UNPLACED_AT_ONCE = 8
+CHUNKS_A_PAGE, MAX_PAGES = 20, 25
+"""Of a cancelled job, to see that nothing is placed; the leader, or the end of the job, tells of others."""
 
 
 class Open(NamedTuple):
@@ -38,6 +41,8 @@
 
     mark: Mark
     tasks: int
+    cancelled: bool = False
+    """Its cancel is stored; whether its tasks may still be kept, this does not tell."""
 
 
 ABSENT = Open(Mark(0), 0)
@@ -57,8 +62,11 @@
         store: StoreClient,
         followed: Followed = lambda key: None,
         missing: Callable[[JobId], None] = lambda job: None,
+        released: Callable[[JobId], bool] = lambda job: False,
     ) -> None:
+        """`released`: whether a job's cancel is stored, and nothing can keep its tasks."""
         self._missing = missing
+        self._released = released
         self._followed = followed
         self._clock = clock
         self._store = store
@@ -67,6 +75,7 @@
         self._open: OrderedDict[JobId, Open] = OrderedDict()
         self._waiting: dict[JobId, list[Deferred[Found]]] = {}
         self._rounds = 0
+        self._unplaced = 0
         self._round_set = False
 
     def final(self, job: JobId) -> m.EndedRecord | None:
@@ -75,6 +84,8 @@
         if ended is None and (item := self._followed(m.ended_key(job))) is not None:
             # A picture that lags may lack an end, but ends never change: no request is needed.
             ended = self.ended(job, m.decode_ended(item.value))
+        if ended is None and self._released(job):
+            ended = self.cancelled(job, 0)
         return ended
 
     def _remembered(self, job: JobId) -> Open | None:
@@ -82,8 +93,7 @@
         with self._lock:
             seen = self._open.get(job)
         if (seen is None or seen is ABSENT) and (item := self._followed(m.open_key(job))) is not None:
-            found = self.seen(job, item)
-            return found if isinstance(found, Open) else seen
+            return self.seen(job, item)
         return seen
 
     def ended(self, job: JobId, record: m.EndedRecord) -> m.EndedRecord:
@@ -93,19 +103,21 @@
             _remember(self._ended, job, record)
         return record
 
-    def opened(self, job: JobId, mark: Mark, tasks: int) -> Open:
+    def cancelled(self, job: JobId, tasks: int) -> m.EndedRecord:
+        """Its cancel is stored, and nothing can keep its tasks."""
+        return self.ended(job, m.EndedRecord(m.Standing.CANCELLED, tasks))
+
+    def opened(self, job: JobId, mark: Mark, tasks: int, cancelled: bool = False) -> Open:
         """Remembered to be compared, never to be answered from."""
-        seen = Open(mark, tasks)
+        seen = Open(mark, tasks, cancelled)
         with self._lock:
             _remember(self._open, job, seen)
         return seen
 
-    def seen(self, job: JobId, item: sm.Item) -> Found:
+    def seen(self, job: JobId, item: sm.Item) -> Open:
         """An open key as just read."""
         record = m.decode_record(item.value)
-        if record.cancelled is not None:
-            return self.ended(job, m.EndedRecord(m.Standing.CANCELLED, record.spec.tasks))
-        return self.opened(job, item.mark, record.spec.tasks)
+        return self.opened(job, item.mark, record.spec.tasks, record.cancelled is not None)
 
     def find(self, job: JobId) -> Deferred[Found]:
         """The job's state by a read that begins after this call."""
@@ -209,6 +221,27 @@
                 return
         raise Unavailable(f"job {job} is just changing")
 
+    async def unplaced(self, job: JobId, mark: Mark) -> bool:
+        """By reads that begin now: whether no task of the job is on record as placed, and its record, with its cancel,
+        has this version. Then none ever will be: placements are stored on condition of the record's version. Raises
+        what the store client raises."""
+        if self._unplaced >= UNPLACED_AT_ONCE:
+            return False
+        self._unplaced += 1
+        try:
+            after = ""
+            for _ in range(MAX_PAGES):
+                part = await self._store.page(m.chunks_of(job), CHUNKS_A_PAGE, after, Urgency.USER)
+                entries = (entry for item in part.items for entry in m.decode_chunk(item.value))
+                if any(not isinstance(entry, int) for entry in entries):
+                    return False
+                if not part.more or not part.items:
+                    return not await self._store.compare([sm.Condition(m.open_key(job), mark)])
+                after = part.items[-1].key
+            return False
+        finally:
+            self._unplaced -= 1
+
     async def _still(self, conditions: list[sm.Condition]) -> bool:
         """Whether what was read holds in our era; without eras there is nothing to ask."""
         return self._store.guard is None or not await self._store.compare(conditions)
--- a/meadowcross/jobs/messages.py
+++ b/meadowcross/jobs/messages.py
@@ -129,7 +129,12 @@
 
 
 def chunk_key(job: JobId, chunk: int) -> str:
-    return f"{CHUNKS}{job}/{chunk:05d}"
+    return f"{chunks_of(job)}{chunk:05d}"
+
+
+def chunks_of(job: JobId) -> str:
+    """Under which all its chunks are."""
+    return f"{CHUNKS}{job}/"
 
 
 def parse_chunk_key(key: str) -> tuple[JobId, int]:
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from meadowcross.common.types import JobId, Mark, NodeName, Seconds, Token
 from meadowcross.rebuild.messages import LEADER_KEY, PicturePart, PictureWanted
@@ -78,14 +80,35 @@
     retry_after: int | None = None
 
 
+MAX_CANCELS = 1_000
+"""Of one message; it fits a netstring with room to spare."""
+
+
+class CancelsTold(Struct, tag="cancels?", tag_field="kind"):
+    """Cancels that are stored, with their records' versions. After they were, the leader's key was that of `token`:
+    who leads with it stops the tasks and starts nothing more of those jobs, with or without the state service."""
+
+    number: int
+    """Of the question; 0: no answer is waited for."""
+    token: Token
+    jobs: Annotated[dict[JobId, Mark], Meta(max_length=MAX_CANCELS)]
+
+
+class CancelsTaken(Struct, tag="cancels", tag_field="kind"):
+    """The leader has taken them in; `free` are those whose tasks nothing can keep any more."""
+
+    number: int
+    free: list[JobId]
+
+
 Message = (
-    Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded
+    Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded | CancelsTold | CancelsTaken
     | Hints | HintsWanted | Handover | Handed | PictureWanted | PicturePart
 )  # fmt: skip
 
 __all__ = [
-    "LEADER_KEY", "Beat", "Forward", "Forwarded", "LeaderRecord", "Message", "ProgressAnswer", "ProgressQuestion",
-    "decode", "decode_leader", "encode",
+    "LEADER_KEY", "MAX_CANCELS", "Beat", "CancelsTaken", "CancelsTold", "Forward", "Forwarded", "LeaderRecord",
+    "Message", "ProgressAnswer", "ProgressQuestion", "decode", "decode_leader", "encode",
 ]  # fmt: skip
 
 encode = msgspec.json.Encoder().encode
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -38,7 +38,7 @@
 MAX_JOBS = 1_000
 """Of one question, so that its answer fits a netstring."""
 
-Reply = m.ProgressAnswer | m.Forwarded | Handed | PicturePart
+Reply = m.ProgressAnswer | m.Forwarded | Handed | PicturePart | m.CancelsTaken
 Serve = Callable[[str, str, bytes], Awaitable[Answer]]
 """Answers a peer's user: the operation, the job's id where it is not in the body, the body."""
 
@@ -58,6 +58,8 @@
             self._link.opened(self.peer, self)
 
     def connectionLost(self, reason: Any = None) -> None:
+        if self.brokenPeer:
+            log.info("peer sent no netstring of at most %d bytes: its line is closed", self.MAX_LENGTH)
         if self.peer is not None:
             self._link.closed(self.peer, self)
 
@@ -125,6 +127,7 @@
         on_lost: Callable[[NodeName], None] = lambda peer: None,
         hand_over: Callable[[int], Awaitable[Handed]] | None = None,
         picture_part: Callable[[PictureWanted], PicturePart] | None = None,
+        take_cancels: Callable[[m.CancelsTold], list[JobId] | None] = lambda told: None,
     ) -> None:
         self._clock = clock
         self._peers = peers
@@ -136,6 +139,7 @@
         self._on_lost = on_lost
         self._hand_over = hand_over
         self._picture_part = picture_part
+        self._take_cancels = take_cancels
         self._lost: dict[NodeName, float] = {}
         """Peers whose link was closed and that refuse to be called, and when it was closed."""
         self._closed_at: dict[NodeName, float] = {}
@@ -207,6 +211,18 @@
         answer = await self._question(line, lambda number: PictureWanted(number, after), PICTURE_S)
         return answer if isinstance(answer, PicturePart) else None
 
+    async def ask_cancels(self, leader: NodeName, told: m.CancelsTold) -> list[JobId] | None:
+        """Of cancels that are stored, those whose tasks nothing can keep; None: the leader did not take them in, or
+        did not say so in time. The others hear of them too, as any of them may lead next."""
+        for name, other in list(self._lines.items()):
+            if name != leader:
+                other.send(told)
+        line = self._lines.get(leader)
+        if line is None:
+            return None
+        answer = await self._question(line, lambda number: m.CancelsTold(number, told.token, told.jobs), ANSWER_S)
+        return answer.free if isinstance(answer, m.CancelsTaken) else None
+
     async def _answer_handover(self, line: _Line, message: Handover) -> None:
         line.send(await self._hand_over(message.number) if self._hand_over is not None else Handed(message.number))
 
@@ -232,6 +248,10 @@
         elif isinstance(message, PictureWanted):
             if self._picture_part is not None:
                 line.send(self._picture_part(message))
+        elif isinstance(message, m.CancelsTold):
+            free = self._take_cancels(message)
+            if free is not None and message.number:
+                line.send(m.CancelsTaken(message.number, free))
         elif isinstance(message, Handover):
             Deferred.fromCoroutine(self._answer_handover(line, message))
         else:
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -105,9 +105,14 @@
         hints: Hints | None = None,
         rebuild: Rebuild | None = None,
         cold: bool = False,
+        told: Callable[[JobId], bool] = lambda job: False,
     ) -> None:
-        """`cold`: nobody here knows what was before, so only the machines can tell whether the store still does."""
+        """`cold`: nobody here knows what was before, so only the machines can tell whether the store still does.
+        `told`: whether a peer has said that a job's cancel is stored."""
         self._cold = cold
+        self._told = told
+        self._cancelled_before: dict[JobId, bool] = {}
+        """What the picture of before this term says of jobs whose tasks are reported while none could be taken."""
         self._rebuild = rebuild
         self._back: WriteBack | None = None
         self._doubted: set[MachineId] = set()
@@ -588,8 +593,11 @@
 
     def _job_seen(self, key: str, value: msgspec.Raw, mark: Mark) -> None:
         """A job's record as read or watched: new, or cancelled since."""
-        job = self.book.jobs.get(JobId(key.removeprefix(jm.OPEN)))
-        if job is not None and mark <= job.mark:
+        name = JobId(key.removeprefix(jm.OPEN))
+        job = self.book.jobs.get(name)
+        if (job is not None and mark <= job.mark) or (job is None and name in self._ended_here):
+            # A peer's word can be faster than the watch: what that tells of a job that has ended since is old. Such a
+            # job came back into the book with no attempts, and a task of it counted as proof that records were lost.
             return
         record = jm.decode_record(value)
         if job is None:
@@ -602,10 +610,16 @@
                     if any(TaskId.parse(task.task).job == job.id for task in machine.unclaimed):
                         machine.strays += machine.unclaimed
                         self._claim(machine)
+        self._changed(job, mark, record.cancelled)
+
+    def _changed(self, job: Job, mark: Mark, cancelled: WallTime | None) -> None:
+        """A newer version of its record is known, read, watched or told."""
         job.mark = mark
-        if record.cancelled is not None and job.cancelled is None:
-            job.cancelled = record.cancelled
-            log.info("job %s is cancelled, %d tasks placed", job.id, len(job.placed))
+        if cancelled is not None:
+            if job.cancelled is None:
+                log.info("job %s is cancelled, %d tasks placed", job.id, len(job.placed))
+            # By who cancelled it: a clock ahead of ours would put off the deletion of what does not let go.
+            job.cancelled = WallTime(min(cancelled, self.now))
         if self.loaded:
             if job.cancelled is not None:
                 self._clear(job)
@@ -613,6 +627,51 @@
                 self.fleet.new_work()
             self.kick()
 
+    def take_cancels(self, jobs: dict[JobId, Mark]) -> list[JobId] | None:
+        """A peer's word that these cancels are stored, at versions of their records that were stored while we led:
+        as good as the watch, which stands still where the state service refuses us alone. Returns those whose tasks
+        nothing can keep; None: we can't tell yet."""
+        if not self.loaded or self._stopped:
+            return None
+        for name, mark in jobs.items():
+            job = self.book.jobs.get(name)
+            if job is not None and mark > job.mark:
+                self._changed(job, mark, WallTime(self.now))
+        return [name for name in jobs if self.releases(name)]
+
+    def releases(self, name: JobId) -> bool:
+        """Whether nothing can keep the tasks of a job whose cancel is stored. Each machine that may have one knows
+        our token: it hears nobody who doesn't know of the cancel, so we stop them or its lease runs out. No start is
+        under way, which might come about later than any lease. What we don't know was never placed, or is gone."""
+        if not self.loaded or self._stopped or not self._certain() or self._unsettled():
+            return False
+        job = self.book.jobs.get(name)
+        if job is None:
+            return True
+        return job.cancelled is not None and all(
+            (machine := self.roster.machines.get(placement.machine)) is not None
+            and machine.confirmed
+            and (placement.task, placement.attempt) not in machine.open_starts
+            for placement in job.placed.values()
+        )
+
+    def _stops(self, report: wm.Report) -> list[wm.Command]:
+        """Before the picture is there, which an outage may put off for long: what is known to be cancelled ends all
+        the same. Our answers keep its machines' leases, and once kept such tasks for a whole outage."""
+        return [
+            wm.Command("stop", task.task, task.attempt, 0.0)
+            for task in report.tasks
+            if task.state is not wm.TaskState.EXITED and self._known_cancelled(TaskId.parse(task.task).job)
+        ]
+
+    def _known_cancelled(self, job: JobId) -> bool:
+        if self._told(job):
+            return True
+        if job not in self._cancelled_before:
+            item = self._follower.get(jm.open_key(job)) if self._follower is not None else None
+            self._cancelled_before[job] = item is not None and jm.decode_record(item.value).cancelled is not None
+        return self._cancelled_before[job]
+
     # Reports and outcomes
 
     def add_machine(self, machine: MachineId, kind: MachineKind) -> Machine:
@@ -633,7 +692,7 @@
         """A worker's report; None: we don't lead any more."""
         if not self.loaded:
             # Renews leases while the picture is being read; proves nothing yet.
-            return wm.Response(self.token, []) if report.token <= self.token else None
+            return wm.Response(self.token, self._stops(report)) if report.token <= self.token else None
         if self.fleet.is_deleted(report.machine):
             return wm.Response(self.token, [])
         known = self.roster.machines.get(report.machine)
@@ -869,10 +928,15 @@
                     self._job_seen(item.key, item.value, item.mark)
                 elif known is not None and known.mark > 0:
                     # Only a leader moves a job away, so our own lost transaction did.
-                    if await self._store.get(jm.ended_key(known.id), Urgency.PLACEMENT) is None:
+                    ended = await self._store.get(jm.ended_key(known.id), Urgency.PLACEMENT)
+                    if ended is None:
                         self._lost(f"{key} is gone")
                         return
+                    if self._follower is not None:
+                        # Stored by our lost transaction, too: without it our picture counts one job less.
+                        self._follower.found(ended.key, ended)
                     self.book.remove(known.id)
+                    self._ended_here.add(known.id)
             elif self._back is not None and item is not None:
                 self._back.stored(key)
             if self._follower is not None:
--- a/meadowcross/replica/follower.py
+++ b/meadowcross/replica/follower.py
@@ -35,7 +35,8 @@
 """How often the leader writes is counted over so long."""
 LED_S: Seconds = 5.0
 """Peers that noticed a loss tell within a beat of a second, once they are heard."""
-LEADERS = ("t/", "w/", "e/")
+ENDED = "e/"
+LEADERS = ("t/", "w/", ENDED)
 """Only a leader writes below these."""
 
 
@@ -233,7 +234,7 @@
         while self.state is State.LEADING and picture is self.picture:
             try:
                 # They are never dropped, so what is read late can undo nothing.
-                for item in (await self._store.list("e/", Urgency.LATER))[0]:
+                for item in (await self._store.list(ENDED, Urgency.LATER))[0]:
                     picture.put(item.key, item.value, item.mark)
                 return
             except (Unavailable, Unknown, Refused) as error:
@@ -274,7 +275,8 @@
         """What users stored, as the term's own watch of open jobs tells it."""
         if self.state is State.LEADING:
             for event in events:
-                if event.written is not None:
+                # What has ended by our own transaction is over, though the watch tells only now how it changed before.
+                if event.written is not None and self.picture.get(ENDED + event.written[2:]) is None:
                     self.picture.put(event.written, event.value, event.mark)
             self.picture.revision = max(self.picture.revision, revision)
 
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -6,6 +6,7 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from meadowcross.jobs.lookup import ABSENT, Lookup
 
@@ -63,10 +64,16 @@
     put(world, 2, cancelled=True)
     put(world, 9)
     answers, _ = ask(world, lookup, [1, 2, 3, 9])
-    assert [answers[n].standing.value for n in (1, 2)] == ["done", "cancelled"]
+    assert answers[1].standing.value == "done"
+    # A stored cancel is no final state yet: who leads may not know of it. Nor is it remembered as one.
+    assert answers[2].cancelled and not answers[3].cancelled and lookup.final("wk-000002") is None
     assert answers[3].tasks == 3 and answers[9].tasks == 3 and answers[9] is not ABSENT
     # Final states need no read any more, not even in an outage.
     world.state.outage = True
+    answers, requests = ask(world, lookup, [1])
+    assert answers[1].standing.value == "done" and requests == []
+    assert isinstance(ask(world, lookup, [2])[0][2], Failure), "a cancel that nobody confirmed is not told from memory"
+    lookup.cancelled("wk-000002", 3)
     answers, requests = ask(world, lookup, [1, 2])
     assert [answers[n].standing.value for n in (1, 2)] == ["done", "cancelled"] and requests == []
 
