--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,6 +26,7 @@
 from meadowcross.store.client import StoreClient
 from meadowcross.workers.messages import decode_report
 
+pytest_plugins = ["tests.known_red"]
 SETTINGS = {
     "host_name": "n0", "zone": "east", "api_addr": "127.0.0.1:1", "peer_bind": "127.0.0.1:2",
     "outside": {"cloud": "cloud:1", "state": "state:1"},
