A cancelled job that only machines know is stopped, and told once it is

Cause: a cancel of a job whose record was lost stores its ended key. The leader watches open jobs only, so it never learned: users heard `cancelled`, and the tasks ran on.

--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -79,7 +79,7 @@
     return None
 
 
-async def _unconfirmed(job: JobId, mark: Mark) -> bool:
+async def _unconfirmed(job: JobId, stored: sm.Condition) -> bool:
     return False
 
 
@@ -105,8 +105,8 @@
     there is no outage of all, even where no peer can tell us."""
     shown_by_machines: Callable[[JobId], bool] = lambda job: False
     """Whether machines had tasks of a job whose submission is lost."""
-    confirm: Callable[[JobId, Mark], Awaitable[bool]] = _unconfirmed
-    """Whether who leads has taken in a cancel, stored at this version, and nothing can keep the job's tasks."""
+    confirm: Callable[[JobId, sm.Condition], Awaitable[bool]] = _unconfirmed
+    """Whether who leads has taken in a cancel, stored under this key, and nothing can keep the job's tasks."""
     released: Callable[[JobId], bool] = lambda job: False
     """The same, as already known here."""
 
@@ -335,11 +335,11 @@
         """Its cancel is stored at this version, which is no end of it: a leader whom the state service refuses alone
         learns nothing by its watch, and kept such tasks for as long as all were without the store. So the user hears
         of it once nothing can keep them: who leads has said so, or nothing was placed when it was stored."""
-        sure = await self._trust.confirm(job, found.mark)
-        if not sure and isinstance(ended := await self._lookup.find(job), m.EndedRecord):
+        sure = await self._trust.confirm(job, found.stored(job))
+        if not sure and not found.unrecorded and isinstance(ended := await self._lookup.find(job), m.EndedRecord):
             # It was faster than we asked: all its tasks are proven gone.
             return answer_of(job, ended.standing, 0, 0)
-        if not sure and not self._trust.unknown_may_be_somebodys():
+        if not sure and not found.unrecorded and not self._trust.unknown_may_be_somebodys():
             sure = await self._lookup.unplaced(job, found.mark)
         if not sure:
             log.info("job %s: its cancel is stored and not told yet, as its tasks may still be kept", job)
@@ -350,17 +350,16 @@
 
     async def _cancel_unrecorded(self, job: JobId) -> Answer:
         """Its submission is lost and machines run its tasks: ended, so that they are stopped as any job's that is
-        over."""
-        ended = m.EndedRecord(m.Standing.CANCELLED, 0)
-        await self._store.transact(
+        over, once who leads knows. Its watch does not tell of ended keys: such tasks once ran on for ever."""
+        ended = m.EndedRecord(m.Standing.CANCELLED, 0, False)
+        mark = await self._store.transact(
             [sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))],
             [sm.Put(m.ended_key(job), sm.raw(ended))],
             Urgency.USER,
             1.5,
         )
         log.info("job %s, known by its tasks only, cancelled", job)
-        self._lookup.ended(job, ended)
-        return answer_of(job, m.Standing.CANCELLED, 0, 0)
+        return await self._cancelled(job, Open(mark, 0, True, True))
 
 
 def is_job_id(text: str) -> bool:
--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -43,6 +43,12 @@
     tasks: int
     cancelled: bool = False
     """Its cancel is stored; whether its tasks may still be kept, this does not tell."""
+    unrecorded: bool = False
+    """It is stored under the ended key, as the job's record was lost."""
+
+    def stored(self, job: JobId) -> sm.Condition:
+        """That what is known of it here still holds."""
+        return sm.Condition(m.ended_key(job) if self.unrecorded else m.open_key(job), self.mark)
 
 
 ABSENT = Open(Mark(0), 0)
@@ -83,7 +89,8 @@
             ended = self._ended.get(job)
         if ended is None and (item := self._followed(m.ended_key(job))) is not None:
             # A picture that lags may lack an end, but ends never change: no request is needed.
-            ended = self.ended(job, m.decode_ended(item.value))
+            record = m.decode_ended(item.value)
+            ended = self.ended(job, record) if record.proven else None
         if ended is None and self._released(job):
             ended = self.cancelled(job, 0)
         return ended
@@ -208,7 +215,8 @@
                 continue
             item = await self._store.get(m.ended_key(job))
             if item is not None:
-                found[job] = self.ended(job, m.decode_ended(item.value))
+                record = m.decode_ended(item.value)
+                found[job] = self.ended(job, record) if record.proven else Open(item.mark, record.tasks, True, True)
                 return
             if await self._still([sm.Condition(m.open_key(job), Mark(0)), sm.Condition(m.ended_key(job), Mark(0))]):
                 if followed:
--- a/meadowcross/jobs/messages.py
+++ b/meadowcross/jobs/messages.py
@@ -82,11 +82,13 @@
     cancelled: WallTime | None = field(name="c", default=None)
 
 
-class EndedRecord(Struct):
+class EndedRecord(Struct, omit_defaults=True):
     """All that a later answer needs of an ended job, under its ended key."""
 
     standing: Standing = field(name="s")
     tasks: int = field(name="n")
+    proven: bool = field(name="p", default=True)
+    """False: cancelled while its record was lost, and machines may still have tasks of it."""
 
 
 class JobAnswer(Struct, omit_defaults=True):
--- a/meadowcross/leadership/cancels.py
+++ b/meadowcross/leadership/cancels.py
@@ -20,7 +20,6 @@
 from meadowcross.common.clock import Clock, pause
 from meadowcross.common.logging import logger
 from meadowcross.common.types import JobId, Mark, NodeName, Seconds, Token, mark_of
-from meadowcross.jobs import messages as jm
 from meadowcross.leadership.messages import LEADER_KEY, MAX_CANCELS, CancelsTold
 from meadowcross.store import messages as sm
 from meadowcross.store.client import Refused, StoreClient, Unavailable, Unknown
@@ -72,7 +71,7 @@
         self._leader = leader
         self._ask = ask
         self._lock = Lock()
-        self._waiting: dict[JobId, tuple[Mark, list[Deferred[bool]]]] = {}
+        self._waiting: dict[JobId, tuple[sm.Condition, list[Deferred[bool]]]] = {}
         self._rounds = 0
         self._round_set = self._repeat_set = False
         self._told: OrderedDict[JobId, Told] = OrderedDict()
@@ -109,13 +108,14 @@
 
     # What we tell
 
-    def confirm(self, job: JobId, mark: Mark) -> Deferred[bool]:
-        """Of a cancel stored at this version: whether who leads has taken it in, and nothing can keep the tasks. False
-        also without an answer in time. Raises what the store client raises."""
+    def confirm(self, job: JobId, stored: sm.Condition) -> Deferred[bool]:
+        """Of a cancel stored under this key, at this version: whether who leads has taken it in, and nothing can keep
+        the tasks. False also without an answer in time. Raises what the store client raises."""
         answer: Deferred[bool] = Deferred()
         with self._lock:
-            newest, answers = self._waiting.get(job, (mark, []))
-            self._waiting[job] = (max(mark, newest), [*answers, answer])
+            other, answers = self._waiting.get(job, (stored, []))
+            newest = stored if stored.mark >= other.mark else other
+            self._waiting[job] = (newest, [*answers, answer])
         self._arm()
         return answer
 
@@ -133,11 +133,11 @@
         Deferred.fromCoroutine(self._round(taken))
         self._arm()
 
-    async def _round(self, taken: dict[JobId, tuple[Mark, list[Deferred[bool]]]]) -> None:
+    async def _round(self, taken: dict[JobId, tuple[sm.Condition, list[Deferred[bool]]]]) -> None:
         free: set[JobId] = set()
         failure: Exception | None = None
         try:
-            free = await self._settle({job: mark for job, (mark, _) in taken.items()})
+            free = await self._settle({job: stored for job, (stored, _) in taken.items()})
         except (Unavailable, Unknown, Refused) as error:
             failure = error
         except Exception as error:
@@ -153,18 +153,16 @@
                 else:
                     answer.errback(failure)
 
-    async def _settle(self, jobs: dict[JobId, Mark]) -> set[JobId]:
+    async def _settle(self, jobs: dict[JobId, sm.Condition]) -> set[JobId]:
         leader = self._leader()
         if leader is None:
             return set()
         node, token = leader
         # At one revision: the leader's key is still this one, and the cancels are there.
-        conditions = [sm.Condition(LEADER_KEY, mark_of(token))]
-        conditions += [sm.Condition(jm.open_key(job), mark) for job, mark in jobs.items()]
-        failed = await self._store.compare(conditions)
+        failed = await self._store.compare([sm.Condition(LEADER_KEY, mark_of(token)), *jobs.values()])
         if LEADER_KEY in failed:
             return set()
-        left = {job: mark for job, mark in jobs.items() if jm.open_key(job) not in failed}
+        left = {job: stored.mark for job, stored in jobs.items() if stored.key not in failed}
         free = await self._tell(node, token, left)
         for again in AGAIN_S:
             if free is None or len(free) == len(left):
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -637,17 +637,20 @@
             job = self.book.jobs.get(name)
             if job is not None and mark > job.mark:
                 self._changed(job, mark, WallTime(self.now))
+            elif job is None and self._unsettled() and not self._shown_nowhere(name):
+                # Only machines know it: they are told to stop what is on no record, as of any job that is over.
+                self._ended_here.add(name)
         return [name for name in jobs if self.releases(name)]
 
     def releases(self, name: JobId) -> bool:
         """Whether nothing can keep the tasks of a job whose cancel is stored. Each machine that may have one knows
         our token: it hears nobody who doesn't know of the cancel, so we stop them or its lease runs out. No start is
         under way, which might come about later than any lease. What we don't know was never placed, or is gone."""
-        if not self.loaded or self._stopped or not self._certain() or self._unsettled():
+        if not self.loaded or self._stopped or not self._certain():
             return False
         job = self.book.jobs.get(name)
-        if job is None:
-            return True
+        if job is None or self._unsettled():
+            return job is None and (not self._unsettled() or self._shown_nowhere(name))
         return job.cancelled is not None and all(
             (machine := self.roster.machines.get(placement.machine)) is not None
             and machine.confirmed
@@ -655,6 +658,15 @@
             for placement in job.placed.values()
         )
 
+    def _shown_nowhere(self, name: JobId) -> bool:
+        """While not all that was lost is settled: whether no machine shows a task of a job without a record. One that
+        is older than this term and has not answered it may have any."""
+        return all(
+            (machine.confirmed or machine.rented_at > self._began)
+            and not any(TaskId.parse(task.task).job == name for task in (*machine.unclaimed, *machine.strays))
+            for machine in self.roster.machines.values()
+        )
+
     def _stops(self, report: wm.Report) -> list[wm.Command]:
         """Before the picture is there, which an outage may put off for long: what is known to be cancelled ends all
         the same. Our answers keep its machines' leases, and once kept such tasks for a whole outage."""
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -20,6 +20,7 @@
 from meadowcross.replica.follower import Follower
 from meadowcross.replica.picture import Picture
 from meadowcross.store.client import Unavailable
+from meadowcross.store.messages import Condition
 from tests.conftest import job
 from tests.test_addition import WHERE
 
@@ -291,7 +292,7 @@
     cancels, told = node(world, known=(name, Token(token + above)) if name else None, answers=answers)
 
     async def confirmed():
-        return await cancels.confirm(NAME, mark)
+        return await cancels.confirm(NAME, Condition(f"j/{NAME}", mark))
 
     assert world.run(confirmed()) is sure and cancels.released(NAME) is sure
     assert len(told) == asked and all(message.jobs == {NAME: mark} for _, message in told)
@@ -302,7 +303,7 @@
     cancels, told = node(world, known=("n1", Token(token)), answers=[[NAME]])
 
     async def confirmed(version):
-        return await cancels.confirm(NAME, version)
+        return await cancels.confirm(NAME, Condition(f"j/{NAME}", version))
 
     assert world.run(confirmed(mark - 1)) is False and told == []
     world.state.outage = True
@@ -316,7 +317,7 @@
     cancels, told = node(world, known=("n1", Token(token)), answers=[list(marks)] * 20)
     answers, before = [], len(world.net.calls)
     for name, mark in marks.items():
-        cancels.confirm(name, mark).addCallback(answers.append)
+        cancels.confirm(name, Condition(f"j/{name}", mark)).addCallback(answers.append)
     world.pass_time(2.0)
     assert answers == [True] * 400
     rounds = -(-400 // (world.store.max_conditions - 1))
@@ -326,7 +327,7 @@
 def test_the_word_is_repeated_until_it_is_answered_or_another_leads(world):
     token, mark = stored(world)
     cancels, told = node(world, known=("n1", Token(token)), answers=[None] * 5 + [[NAME]])
-    cancels.confirm(NAME, mark)
+    cancels.confirm(NAME, Condition(f"j/{NAME}", mark))
     world.pass_time(2.0)
     # All is without the store; the leader hears it all the same.
     world.state.outage = True
@@ -337,7 +338,7 @@
     known = ["n1", Token(token)]
     other, told = node(world, answers=[])
     other._leader = lambda: tuple(known)
-    other.confirm(NAME, mark)
+    other.confirm(NAME, Condition(f"j/{NAME}", mark))
     world.pass_time(2.0)
     known[1] = Token(token + 5)
     world.pass_time(1.2)
--- a/tests/test_measure.py
+++ b/tests/test_measure.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from measure import bounds, cost, history, learning, recovery, served, takeover, tickets
+from measure import bounds, cancels, cost, history, learning, recovery, served, takeover, tickets
 from measure.day import money, read
 
 FACTS = """
@@ -210,3 +210,23 @@
     assert set(told["served"]) == {"class train", "team a"} and told["thrown_away"] == {"train: stopped": 1}
     (tmp_path / "report").write_text("{")
     assert served.main([str(tmp_path / "report")]) == 2
+
+
+def test_how_long_users_waited_for_the_word_on_a_cancel(tmp_path, capsys):
+    log = tmp_path / "day.log"
+    log.write_text(
+        "10.0 n0 I n0 jobs: job wk-000001 cancelled\n"
+        "10.1 n0 I n0 jobs: job wk-000001: its user is told of the cancel\n"
+        "11.0 n1 I n1 jobs: job wk-000002 cancelled\n"
+        "11.2 n1 I n1 jobs: job wk-000002: its cancel is stored and not told yet, as its tasks may still be kept\n"
+        "12.3 n2 I n2 jobs: job wk-000002: its cancel is stored and not told yet, as its tasks may still be kept\n"
+        "14.0 n0 I n0 jobs: job wk-000002 ended: cancelled, 3 s after its submission\n"
+        "15.0 n0 I n0 jobs: job wk-000003 cancelled\n"
+        "no line of a log\n"
+    )
+    assert cancels.main([str(log), "--json"]) == 0
+    assert json.loads(capsys.readouterr().out) == {
+        "stored": 3, "told": 2, "withheld_at_first": 1, "later_than_1_s": 1, "p50_s": 3.0, "p95_s": 3.0,
+        "longest_s": 3.0,
+    }  # fmt: skip
+    assert cancels.main([str(tmp_path / "none")]) == 2
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -86,6 +86,22 @@
     assert not [key for key in store.service.keys if key.startswith("j/")]
 
 
+def only_machines_know():
+    """All data and all nodes are gone; then users cancel jobs of which nothing is left but long tasks on machines."""
+    ends = {"kind": "node_kill", "node": "all", "at_s": 30.0, "back_s": 6.0}
+    long = {"class": "long", "tasks": 3, "run_s": 300.0, "count": 20, "at_s": 2.0, "every_s": 0.2}
+    meeting = Meeting("loss", [LOST, ends], 100.0, [long | {"cancel_after_s": 45.0}], cancel_s=40.0)
+    meeting.lab.scenario.operator["lost_wait_s"] = 0.0
+    return meeting
+
+
+def stopped_and_told(meeting):
+    told, judge = meeting.result["cancels"], meeting.lab.judge
+    assert told["asked"] == told["told"] == 20 and told["longest_s"] < 15.0, told
+    ended = [key for key in meeting.lab.store.service.keys if key.startswith("e/")]
+    assert len(ended) == 20 and not any(map(judge.is_on, judge.jobs))
+
+
 def kill(at_s, back_s, node="leader"):
     return {"kind": "node_kill", "at_s": at_s, "node": node, "back_s": back_s}
 
@@ -240,6 +256,7 @@
 
 
 ROWS = [
+    ("jobs that only machines know are cancelled", only_machines_know, stopped_and_told),
     ("commands are held up, and the machine goes on", commands_held, carried_out_late),
     ("handed over and back, all end, one returns at once", handed_over_and_back, two_terms_in_a_report_period),
     ("transactions are carried out late", writes_late, applied_and_refused_late),
@@ -309,6 +326,11 @@
     monkeypatch.setattr(commands, "_may_reap", lambda task, book: True)
 
 
+def never_asked_of_machines(monkeypatch):
+    """A job that is on no record counts as being nowhere."""
+    monkeypatch.setattr(Term, "_shown_nowhere", lambda self, name: True)
+
+
 def stages_unconditional(monkeypatch):
     monkeypatch.setattr(Eras, "progress_stands", Eras.condition)
 
@@ -331,6 +353,7 @@
     (done_with_the_first, "end far apart", "not_done"),
     (reaped_before_stored, "end far apart", "again"),
     (copies_are_new, "old reports", "ran_twice"),
+    (never_asked_of_machines, "only machines know", "ran_cancelled"),
     (stages_unconditional, "a stage of a rebuild", "the meeting's mark"),
     (open_though_ended, "open jobs are written back", "went_back"),
 ]
