--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -207,12 +207,23 @@
     refused = [{"kind": "store_refuses", "at_s": at, "node": node, "for_s": 8.0} for at, node in
                ((30.0, "leader"), (40.0, "follower"), (50.0, "leader"))]  # fmt: skip
     cancelled = {"class": "idle", "tasks": 2, "cpus": 0.2, "run_s": 200.0, "count": 30, "at_s": 10.0, "every_s": 1.0}
-    return Meeting("quiet", [slow, *refused], 110.0, [LONG, FLOW, cancelled | {"cancel_after_s": 18.0}])
+    meeting = Meeting("quiet", [slow, *refused], 110.0, [LONG, FLOW, cancelled | {"cancel_after_s": 18.0}])
+    meeting.sockets = [0]
+
+    def look():
+        for name in meeting.lab.names:
+            meeting.sockets.append(len(meeting.lab.simulation.hosts[name].reactor.open))
+
+    for at in range(20, 75):
+        meeting.lab.simulation.at(float(at), look)
+    return meeting
 
 
 def told_though_slow(meeting):
     told = meeting.result["cancels"]
     assert told["asked"] == told["told"] == 30 and told["late"] >= 5, told
+    # Some thirty machines, as many users at once, and what the nodes ask of the store and of each other.
+    assert 20 < max(meeting.sockets) < 150, max(meeting.sockets)
     for node in meeting.lab.nodes.values():
         assert node.store.answering()
 
