A question is answered right after its read, not after waiting for counts or for others

A round of questions kept back what it had found until it had read on for others.

Change: counts, then the read, then the answer; a round answers what it has found before it reads on.

--- a/meadowcross/jobs/api.py
+++ b/meadowcross/jobs/api.py
@@ -266,6 +266,9 @@
         return answer_of(job, m.Standing.PENDING, 0, 0, 201)
 
     async def _known(self, job: JobId) -> Answer | None:
+        # First the counts, for which the leader may take its time: the read decides, and nothing is waited for after
+        # it. A question so once got `pending` though its user had heard `cancelled` from another node meanwhile.
+        progress = await self._progress(job) if self._lookup.final(job) is None else None
         found = await self._lookup.find(job)
         if found is None:
             return None
@@ -274,7 +277,7 @@
             return answer_of(job, found.standing, done, 0)
         if found.cancelled:
             return await self._cancelled(job, found)
-        done, running, ends = await self._progress(job) or m.Progress(0, 0)
+        done, running, ends = progress or m.Progress(0, 0)
         # All tasks done but not yet stored as such: not done for the user.
         done = min(done, found.tasks - 1) if running == 0 else done
         return answer_of(job, m.Standing.RUNNING if running else m.Standing.PENDING, done, running, ends=ends)
--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -159,21 +159,22 @@
         found: dict[JobId, Found] = {}
         failure: Exception = Unavailable("not read")
         try:
-            await self._read(taken, found)
+            await self._read(list(taken), found, lambda: _deliver(taken, found))
         except Exception as error:
             failure = error
         finally:
             self._rounds -= 1
             self._arm()
-        for job, answers in taken.items():
+        _deliver(taken, found)
+        for answers in taken.values():
             for answer in answers:
-                if job in found:
-                    answer.callback(found[job])
-                else:
-                    answer.errback(failure)
+                answer.errback(failure)
 
-    async def _read(self, jobs: Iterable[JobId], found: dict[JobId, Found]) -> None:
-        """Put into `found` what is found out; what a failing read leaves is unanswered."""
+    async def _read(
+        self, jobs: Iterable[JobId], found: dict[JobId, Found], some_found: Callable[[], None]
+    ) -> None:
+        """Put into `found` what is found out; what a failing read leaves is unanswered. `some_found` is told before
+        more is read: an answer that waits for others' grows old."""
         known = {job: seen for job in jobs if (seen := self._remembered(job)) is not None}
         conditions = []
         for job, seen in known.items():
@@ -191,6 +192,7 @@
                 unread.append(job)
             else:
                 found[job] = None if remembered is ABSENT else remembered
+        some_found()
         unknown = [job for job in unread if known.get(job, ABSENT) is ABSENT]
         if len(unknown) >= RANGE_FROM:
             items, _ = await self._store.list(m.OPEN, Urgency.USER)
@@ -264,6 +266,12 @@
             outcome.raiseException()
 
 
+def _deliver(taken: dict[JobId, list[Deferred[Found]]], found: dict[JobId, Found]) -> None:
+    for job in [job for job in taken if job in found]:
+        for answer in taken.pop(job):
+            answer.callback(found[job])
+
+
 V = TypeVar("V")
 
 
--- a/tests/test_lookup.py
+++ b/tests/test_lookup.py
@@ -55,6 +55,33 @@
         assert len(requests) <= most, requests
 
 
+def test_who_is_found_is_answered_before_others_are_read(world):
+    """What a round found out is not kept back while it reads on for other jobs: with a slow store such an answer, older
+    by then than what another node had told, once came seconds late."""
+    put(world, 1, 2)
+    lookup = Lookup(world.clock, world.store)
+    ask(world, lookup, [1])
+    answers = {}
+    world.store.get = lambda *arguments: Deferred()
+    for number in (1, 2):
+        lookup.find(f"wk-{number:06d}").addBoth(lambda found, n=number: answers.setdefault(n, found))
+    world.pass_time(0.2)
+    assert answers[1].tasks == 3 and 2 not in answers
+
+
+def test_a_question_that_waits_for_counts_is_not_answered_from_before(world):
+    """The counts come from the leader, who may take its time; the read comes after them."""
+    put(world, 1)
+    counts, answers, api = Deferred(), [], world.api()
+    api._progress = lambda job: counts
+    Deferred.fromCoroutine(api.query("wk-000001")).addCallback(answers.append)
+    world.pass_time(0.3)
+    assert json.loads(world.run(world.api().cancel("wk-000001")).body)["standing"] == "cancelled"
+    counts.callback(None)
+    world.pass_time(0.3)
+    assert json.loads(answers[0].body)["standing"] == "cancelled"
+
+
 def test_what_changed_since_is_seen_by_the_next_question(world):
     put(world, 1, 2, 3)
     lookup = Lookup(world.clock, world.store)
