--- a/meadowcross/leadership/cancels.py
+++ b/meadowcross/leadership/cancels.py
@@ -181,7 +181,10 @@
         mine = self.heard(told)
         free = mine if mine is not None else await self._ask(node, told)
         if free is None:
-            self._unheard.update((job, Told(mark, token)) for job, mark in list(jobs.items())[:MAX_REMEMBERED])
+            self._unheard.update((job, Told(mark, token)) for job, mark in jobs.items())
+            # A leader of an earlier version never answers, and hears by its watch: the oldest are let go.
+            for job in list(self._unheard)[: max(0, len(self._unheard) - MAX_CANCELS)]:
+                del self._unheard[job]
             self._arm_repeat()
             return None
         with self._lock:
@@ -203,9 +206,8 @@
         leader = self._leader()
         self._unheard = {job: told for job, told in self._unheard.items() if leader and told.token == leader[1]}
         if leader is not None and self._unheard:
-            some = dict(list(self._unheard.items())[:MAX_CANCELS])
             try:
-                await self._tell(*leader, {job: told.mark for job, told in some.items()})
+                await self._tell(*leader, {job: told.mark for job, told in self._unheard.items()})
             except Exception:
                 log.exception("telling of cancels again failed")
         self._arm_repeat()
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -366,6 +366,16 @@
     assert len(told) == count, "a later leader has read the cancel"
 
 
+def test_a_leader_that_never_answers_is_told_of_the_newest_only(world):
+    marks = {f"wk-{number:06d}": stored(world, number=number)[1] for number in range(1, MAX_CANCELS + 101)}
+    token = world.state.keys["lead"]["mark"]
+    cancels, told = node(world, known=("n1", Token(token)))
+    for name, mark in marks.items():
+        cancels.confirm(name, Condition(f"j/{name}", mark))
+    world.pass_time(3.0)
+    assert len(told[-1][1].jobs) == len(cancels._unheard) == MAX_CANCELS and list(marks)[-1] in told[-1][1].jobs
+
+
 HEARD = [
     # the token of the term, if this node leads; of the word; what it answers
     ("it leads", 7, 7, [NAME]),
