After a lost answer only what changed is read, and a read slower than the watch proves no loss

A read that was overtaken by the watch looked older than what was known, and counted as proof of lost data. Change: one comparison of the transaction's own conditions, then only the keys that changed, sixteen at once; what is read is held against what was known before the read.

--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -934,8 +934,11 @@
 
     async def _reread(self, keys: list[str]) -> None:
         """After a conflict or a lost answer: what do the keys hold now?"""
-        for key in keys:
-            item = await self._store.get(key, Urgency.PLACEMENT)
+        # As known before the reads: the watch may tell of something newer while an answer is on its way, and what is
+        # older than that then was once taken for a loss of data.
+        before = {key: job.mark for key in keys if (job := self.book.jobs.get(JobId(key.removeprefix(jm.OPEN))))}
+        items = await self._store.get_all(keys, Urgency.PLACEMENT)
+        for key, item in zip(keys, items, strict=True):
             if self._stopped:
                 return
             if key == LEADER_KEY:
@@ -953,7 +956,7 @@
             elif key.startswith(jm.OPEN):
                 known = self.book.jobs.get(JobId(key.removeprefix(jm.OPEN)))
                 if item is not None:
-                    if known is not None and item.mark < known.mark:
+                    if item.mark < before.get(key, 0):
                         self._lost(f"{key} went back")
                         return
                     self._job_seen(item.key, item.value, item.mark)
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 import msgspec
+from twisted.internet.defer import Deferred, FirstError, gatherResults
 
 from meadowcross.common.clock import Clock
 from meadowcross.common.http import HttpClient, NotSent, Reply, Unanswered
@@ -19,6 +20,7 @@
 log = logger("store")
 
 CALL_S: Seconds = 2.0
+READ_AT_ONCE = 16
 SHARE_OF_LEADER = 0.6
 SHARE_OF_OTHERS = 0.2
 
@@ -177,6 +179,18 @@
                 return items, first
             after = part.items[-1].key
 
+    async def get_all(self, keys: Sequence[str], urgency: Urgency = Urgency.USER) -> Sequence[m.Item | None]:
+        """What each of the keys holds, some read at once. Raises the first failure."""
+        items: list[m.Item | None] = []
+        for first in range(0, len(keys), READ_AT_ONCE):
+            asked = keys[first : first + READ_AT_ONCE]
+            begun = [Deferred.fromCoroutine(self.get(key, urgency)) for key in asked]
+            try:
+                items.extend(await gatherResults(begun, consumeErrors=True))
+            except FirstError as error:
+                error.subFailure.raiseException()
+        return items
+
     async def transact(
         self,
         conditions: Sequence[m.Condition],
--- a/meadowcross/store/commit.py
+++ b/meadowcross/store/commit.py
@@ -158,8 +158,10 @@
             await self._reread(conflict.failed)
         except Unknown:
             # It may still be applied late; every unit's own version is a condition, so
-            # after this re-read either it is seen, or our retry makes it fail.
-            await self._reread([c.key for c in conditions])
+            # after this re-read either it is seen, or our retry makes it fail. One comparison tells what to read: all
+            # of it, key by key, kept a leader from placing for seconds while the state service was slow.
+            changed = await self._store.compare(conditions, Urgency.PLACEMENT)
+            await self._reread([c.key for c in conditions if c.key in changed])
             raise
         except Refused:
             # One unit that the service refuses must not hold up the others.
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lab.standins import Worker
+from meadowcross.common.clock import pause
 
 
 def placed(world, chunk="t/wk-000001/00000"):
@@ -400,3 +401,55 @@
     assert world.state.value("e/wk-000001") == {"s": "done", "n": 2}
     learned = [entry.name for term in (first, second) for entry in term._learned.entries() if entry.name[0] != "f"]
     assert learned == [], "a run of 30 s was taken for one of 2 s"
+
+
+LOST_ANSWERS = [
+    # what becomes of a transaction without an answer
+    ("carried out", "lose"),
+    ("not yet", "late"),
+]
+
+
+@pytest.mark.parametrize("fault", [one[1] for one in LOST_ANSWERS], ids=[one[0] for one in LOST_ANSWERS])
+def test_a_lost_answer_costs_a_comparison_and_only_what_changed_is_read(world, fault):
+    """All keys of the transaction were read one by one. Where the state service was slow a leader that lost an answer
+    stored nothing for seconds, and machines that were up got no work."""
+    term = world.lead()
+    for number in range(1, 11):
+        world.submit(id=f"wk-{number:06d}", heads=1, cpus=0.1, grazeS=900.0)
+    world.pass_time(8.0)
+    assert len(world.running()) == 10
+    for number in range(11, 21):
+        world.submit(id=f"wk-{number:06d}", heads=1, cpus=0.1, grazeS=900.0)
+    before = len(world.net.calls)
+    world.net.faults.append(("state:1/multi", fault))
+    world.pass_time(4.0)
+    assert len(world.running()) == 20
+    reads = [path for _, path, _ in world.net.calls[before:] if path.startswith("state:1/kv/")]
+    assert len(reads) <= (10 if fault == "lose" else 0), reads
+    assert all(status == 409 for status, _ in world.net.deliver_late())
+    assert term is world.term and not term.stopped
+
+
+def test_a_watch_that_is_faster_than_a_read_proves_no_loss(world):
+    """The read's answer was on its way for long; meanwhile the watch told of a cancel."""
+    term = world.lead()
+    world.submit(grazeS=900.0)
+    world.pass_time(8.0)
+    lost = []
+    term._lost = lambda why, old=False: lost.append(why)
+    old = dict(world.state.keys["j/wk-000001"])
+    for worker in world.workers.values():
+        worker.obey = lambda calls: None
+    get = term._store.get
+
+    async def slow(key, urgency):
+        item = await get(key, urgency)
+        if key == "j/wk-000001" and item.mark == old["mark"]:
+            world.state.transact({"if": [], "writes": [{"write": key, "data": old["data"] | {"c": 1.0}}]})
+            await pause(world.clock, 1.0)
+        return item
+
+    term._store.get = slow
+    world.run(term._reread(["j/wk-000001"]))
+    assert lost == [] and term.book.jobs["wk-000001"].cancelled is not None
