Nothing is begun on machines that answer and do not report; what they answer is asked for

Cause: a machine that reaches no controller answers direct commands, counted as heard, and was given work that its lease ended, over and over; one that was given up while the cloud refused to delete it was never asked again. Change: a machine is offered if it has reported lately, or is new to this term; a deletion that fails greets the machines that still hold tasks.

--- a/meadowcross/fleet/manager.py
+++ b/meadowcross/fleet/manager.py
@@ -313,6 +313,9 @@
             for machine in map(self._leader.roster.machines.get, names):
                 if machine is not None and not isinstance(error, CloudRefused):
                     machine.silent_only = False
+                if machine is not None and machine.placements:
+                    # It may answer though it does not report, or speak again: what it tells proves as much.
+                    self._leader.sender.greet(machine.id)
             return
         finally:
             self._deleting.difference_update(names)
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -100,6 +100,9 @@
             and machine.deaf_since is None
             and machine.heard_at is not None
             and machine.heard_at >= heard_since
+            # What only answers renews no lease, as no report of it arrives: once tasks were begun over and over on such
+            # machines. Who leads anew waits for a report as long as for any other.
+            and (machine.reported_at or machine.known_at) >= heard_since
             and not self._health.suspect(machine.id)
         )
 
