--- a/lab/judge.py
+++ b/lab/judge.py
@@ -15,6 +15,8 @@
 FORGOTTEN_S = 75.0
 """Once all troubles are over: a job about which no question is answered for so long, however others fare."""
 BEGIN_S = 240.0
+WAITS_S = 90.0
+"""Once all troubles are over nobody waits longer while a machine that fits has room and its team is under its limit."""
 LARGEST = 0.1
 """The share of a class's jobs, those with most tasks and at least one, that count as its largest."""
 
@@ -47,6 +49,10 @@
     answered: float = 0.0
     submitted: float = 0.0
     begun: float | None = None
+    waits_from: float | None = None
+    """Since when it waits though it might run."""
+    told_at: float = 0.0
+    """When its user first heard of its end."""
     done: set[int] = field(default_factory=set)
 
 
@@ -83,6 +89,8 @@
         self._of_job: dict[str, dict[int, On]] = {}
         self._use: Counter[str] = Counter()
         self._polls: deque[tuple[float, bool]] = deque()
+        self.on_complete: Callable[[str], None] = lambda job: None
+        """Told of each job whose last task is done."""
         self.quiet_from = 0.0
         """When the last trouble is over."""
 
@@ -146,6 +154,8 @@
         self._use[self.jobs[job].spec.team] -= self.jobs[job].spec.cpus  # type: ignore[assignment]
         if why == "done":
             self.jobs[job].done.add(number)
+            if len(self.jobs[job].done) == self.jobs[job].spec.tasks:
+                self.on_complete(job)
         elif why != "stopped":
             self.lost += 1
 
@@ -159,6 +169,15 @@
     def machines_of(self, job: str) -> set[str]:
         return {one.machine for one in self._of_job.get(job, {}).values()}
 
+    def waiting(self) -> list[str]:
+        """Accepted jobs with tasks left to do that nobody has called off; gangs and jobs bound by zones need more than
+        room for a task, and are left out."""
+        return [
+            job for job, seen in self.jobs.items()
+            if seen.accepted is not None and seen.cancel_asked is None and len(seen.done) < seen.spec.tasks
+            and seen.spec.kind != "gang" and not seen.spec.one_zone and not seen.spec.spread
+        ]  # fmt: skip
+
     def running(self) -> list[str]:
         """Jobs with a task on a machine that nobody has called off."""
         return sorted(job for job, on in self._of_job.items() if on and self.jobs[job].cancel_asked is None)
@@ -178,10 +197,13 @@
         if status == 200:
             self.breaks("invented", f"{job} got 200")
 
-    def told(self, job: str, standing: str) -> None:
+    def told(self, job: str, standing: str, asked: float | None = None) -> None:
+        """`asked`: when the question was begun. One from before its user heard of the end may be answered after it."""
         self.note(f"user: {job} is {standing}")
         seen = self.jobs[job]
         now = self._now()
+        if asked is not None and seen.told in ("done", "cancelled") and asked < seen.told_at and standing != seen.told:
+            return
         if seen.accepted is None:
             seen.accepted = now
         seen.answered = now
@@ -191,6 +213,8 @@
             self.breaks("went_back", f"{job} is cancelled, and nobody asked")
         if standing == "done" and len(seen.done) < seen.spec.tasks:
             self.breaks("not_done", f"{job}: {len(seen.done)} of {seen.spec.tasks} tasks are done")
+        if standing in ("done", "cancelled") and seen.told != standing:
+            seen.told_at = now
         if standing == "cancelled" and seen.cancel_told is None:
             seen.cancel_told = now
             self.kept_at_word += len(self._of_job.get(job, {}))
@@ -227,6 +251,19 @@
             "longest_s": round(max(waits, default=0.0), 3),
         }  # fmt: skip
 
+    def could_run(self, job: str, room: bool) -> None:
+        """Asked again and again after all troubles, of each open job: whether a task of it would find room."""
+        seen, now = self.jobs[job], self._now()
+        most = self._limits.get(seen.spec.team, 0.0)
+        under = most <= 0 or self._use[seen.spec.team] + seen.spec.cpus <= most + 1e-6
+        if not room or not under or self.is_on(job):
+            seen.waits_from = None
+        elif seen.waits_from is None:
+            seen.waits_from = now
+        elif now - seen.waits_from > WAITS_S:
+            seen.waits_from = now
+            self.breaks("left_waiting", f"{job} for {WAITS_S:.0f} s, though there was room for it")
+
     # The end
 
     def finish(self) -> None:
--- a/lab/machines.py
+++ b/lab/machines.py
@@ -22,6 +22,7 @@
 ANSWER_S = 4.0
 ELSEWHERE_S = 1.0
 CHANGE_S = 0.5
+KEPT_S = 0.6
 Start = tuple[str, int]
 
 
@@ -71,6 +72,8 @@
         self.on_start: Callable[[int], None] = lambda token: None
         self.copy_after: float | None = None
         """Seconds after which the network delivers each report once more, to any node."""
+        self.kept: list[bytes] | None = None
+        """Copies of reports that the network keeps for the next leader."""
         self.hold = (0.0, 0.0)
         """Of direct commands, the share that is held up, and for about how long; their senders have given up."""
         self.late: Counter[str] = Counter()
@@ -79,6 +82,24 @@
         """Who delivers what outlives its sender."""
 
 
+    def deliver(self, body: bytes, node: str) -> None:
+        """A copy of a report; nobody hears the answer."""
+        if self.courier is not None:
+            call = self.courier.call("POST", self.nodes[node], "/checkin", body, ANSWER_S)
+            Deferred.fromCoroutine(call).addErrback(lambda failure: failure.trap(NotSent, Unanswered))
+
+    def deliver_kept(self) -> None:
+        """Somebody begins to lead: what was kept reaches every controller, as it reads what is stored or soon after."""
+        if self.kept is None:
+            return
+        kept, self.kept = self.kept, []
+        self.late["kept for the next"] += len(kept)
+        for body in kept:
+            for node in sorted(self.nodes):
+                wait = self.simulation.random.uniform(0.0, KEPT_S)
+                self.simulation.later(wait, lambda body=body, node=node: self.deliver(body, node))  # type: ignore[misc]
+
+
 class Machine(Worker):
     def __init__(self, world: World, machine: dict[str, Any], reactor: Reactor) -> None:
         super().__init__({k: machine[k] for k in ("id", "addr", "build", "field", "stubble")})
@@ -105,6 +126,12 @@
     def now(self) -> float:
         return self._reactor.seconds()
 
+    def has_room(self, spec: dict[str, Any]) -> bool:
+        """Whether one more task of the job would be taken."""
+        specs = [run.work.spec for run in self._runs.values()] + [spec]
+        cpus, memory_gb = sum(s["cpus"] for s in specs), sum(s["memoryGb"] for s in specs)
+        return bool(cpus <= self._cpus + 1e-6 and memory_gb <= self._memory + 1e-6)
+
     def start(self) -> None:
         serve(self._reactor, 9000, self._serve)
         self._reactor.callLater(self._world.facts.lease_s, self._check_lease)
@@ -159,6 +186,8 @@
             self._next()
             return ELSEWHERE_S
         body = json.dumps(self.report()).encode()
+        if self._world.kept is not None:
+            self._world.kept.append(body)
         if self._world.copy_after is not None:
             self._world.simulation.later(
                 self._world.copy_after * self._world.simulation.random.uniform(0.2, 1.8),
@@ -192,10 +221,7 @@
         """A copy comes late, whatever has become of the machine; nobody hears the answer."""
         self._world.late["copies"] += 1
         self._world.late["copies of an earlier session"] += session < self.session
-        courier, node = self._world.courier, self._world.simulation.random.choice(self._nodes)
-        if courier is not None:
-            call = courier.call("POST", self._world.nodes[node], "/checkin", body, ANSWER_S)
-            Deferred.fromCoroutine(call).addErrback(lambda failure: failure.trap(NotSent, Unanswered))
+        self._world.deliver(body, self._world.simulation.random.choice(self._nodes))
 
     def _next(self) -> None:
         self._node = self._nodes[(self._nodes.index(self._node) + 1) % len(self._nodes)]
@@ -272,11 +298,7 @@
         elif any(other[0] == key[0] for other in self._runs):
             self._refuse(key, "busy")
         else:
-            specs = [run.work.spec for run in self._runs.values()] + [work.spec]
-            if (
-                sum(s["cpus"] for s in specs) > self._cpus + 1e-6
-                or sum(s["memoryGb"] for s in specs) > self._memory + 1e-6
-            ):
+            if not self.has_room(work.spec):
                 self._refuse(key, "full")
                 return
             run = self._runs[key] = Run(int(number), work)
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from msgspec import Meta, Struct, field
+from msgspec.structs import fields
 
 _Seconds = Annotated[float, Meta(ge=0, le=3600)]
 _Span = Annotated[float, Meta(gt=0, le=3600)]
@@ -74,7 +75,7 @@
     "node_kill", "node_freeze", "node_slow", "node_cut", "peers_refuse", "store_outage", "store_slow", "store_refuses",
     "store_late", "kill_after_write", "zone_cut", "machine_die", "machine_hang", "machine_cut", "capacity",
     "store_loss", "machine_deaf", "machine_back", "report_copies", "late_writes", "late_commands", "cloud_outage",
-    "machine_mute", "cancel_now",
+    "machine_mute", "cancel_now", "cancel_at_end", "close_looks", "odd_requests",
 ]  # fmt: skip
 
 
@@ -102,6 +103,10 @@
     """What is lost: everything; the last `for_s`; all below `prefix`; `count` keys; their last versions."""
     hang_s: _Span | None = None
     """For so long up to eight machines hang whose tasks are called off."""
+    at_once: bool = False
+    """Writes are carried out in time, and only their answers are lost."""
+    for_next: bool = False
+    """Copies are kept for the next leader, and reach every controller as it begins."""
     anew: bool = True
     """What is back begins with session and sequence number at their start, or goes on with them."""
 
@@ -125,6 +130,9 @@
     "machine_mute": ("count", "for_s"),
     "machine_back": ("count", "back_s"),
     "cancel_now": ("count",),
+    "cancel_at_end": ("share", "for_s"),
+    "close_looks": ("for_s",),
+    "odd_requests": ("for_s",),
     "report_copies": ("for_s", "factor"),
     "late_writes": ("share", "for_s"),
     "late_commands": ("share", "for_s", "factor"),
@@ -132,6 +140,23 @@
     "capacity": ("factor", "for_s"),
     "store_loss": ("what",),
 }
+"""By kind, the fields that it can't do without."""
+TAKES: dict[str, tuple[str, ...]] = {
+    "node_kill": ("back_s",),
+    "node_cut": ("way", "mode"),
+    "zone_cut": ("mode",),
+    "machine_die": ("zone",),
+    "machine_hang": ("zone",),
+    "machine_cut": ("zone", "mode"),
+    "machine_deaf": ("zone",),
+    "machine_mute": ("zone",),
+    "machine_back": ("zone", "anew"),
+    "report_copies": ("for_next",),
+    "late_writes": ("at_once",),
+    "cancel_now": ("hang_s",),
+    "store_loss": ("for_s", "prefix", "count"),
+}
+"""By kind, the fields that it takes beside those; no other kind takes any."""
 
 
 class State(Struct, forbid_unknown_fields=True):
@@ -208,6 +233,10 @@
         for name in NEEDS[fault.kind]:
             if getattr(fault, name) is None:
                 raise ScenarioError(f"{where}: $.faults[{number}].{name}: expected with kind {fault.kind}")
+        takes = {"kind", "at_s", *NEEDS[fault.kind], *TAKES.get(fault.kind, ())}
+        for one in fields(fault):
+            if one.name not in takes and getattr(fault, one.name) != one.default:
+                raise ScenarioError(f"{where}: $.faults[{number}].{one.name}: {fault.kind} takes none")
         lacks = {"back": "for_s", "prefix": "prefix", "keys": "count", "older": "count"}.get(fault.what or "")
         if lacks is not None and getattr(fault, lacks) is None:
             raise ScenarioError(f"{where}: $.faults[{number}].{lacks}: expected with {fault.what}")
--- a/lab/services.py
+++ b/lab/services.py
@@ -52,6 +52,9 @@
         """For each of the next transactions that store tasks: how much later than asked it is applied, unanswered."""
         self.late_share = 0.0
         """Of all other transactions: no answer, and carried out within `LATE_WRITE_S`, after newer ones."""
+        self.late_at_once = False
+        """They are carried out in time instead, and only their answers are lost."""
+        self.answers_lost = 0
         self.hold_if: Callable[[str, dict[str, Any]], float | None] = lambda caller, request: None
         """Of a transaction that writes: how much later than asked it is carried out, unanswered; None: in time."""
         self.late_applied = self.late_refused = 0
@@ -154,7 +157,11 @@
             self._reactor.callLater(held_s, self._apply, caller, request, None)
             return answer
         if writes and self.late_share and random.random() < self.late_share:
-            self._reactor.callLater(random.uniform(*LATE_WRITE_S), self._apply, caller, request, None)
+            late_s = random.uniform(*LATE_WRITE_S)
+            if self.late_at_once:
+                late_s = self._takes() / 2
+                self.answers_lost += 1
+            self._reactor.callLater(late_s, self._apply, caller, request, None)
             return answer
         took = self._takes()
         if path == "/multi":
--- a/lab/world.py
+++ b/lab/world.py
@@ -28,6 +28,8 @@
 SWEEP_S = 20.0
 CANCELLED_WITHIN_S = 0.2
 HANG_AT_ONCE = 8
+ODD_EVERY_S = 0.5
+LOOK_EVERY_S = 5.0
 REGION = ("state", "cloud", "users")
 
 
@@ -88,6 +90,8 @@
         for at in range(int(SWEEP_S), int(scenario.duration_s), int(SWEEP_S)):
             self.simulation.at(float(at), self._sweep)
         self.judge.quiet_from = max((over(fault) for fault in scenario.faults), default=0.0)
+        for at in range(int(self.judge.quiet_from) + 1, int(scenario.duration_s), int(LOOK_EVERY_S)):
+            self.simulation.at(float(at), self._look_for_waiting)
         for fault in scenario.faults:
             self.simulation.at(fault.at_s, lambda fault=fault: self.strike(fault))  # type: ignore[misc]
         count = 0
@@ -99,6 +103,17 @@
     def _sweep(self) -> None:
         gc.collect()
 
+    def _look_for_waiting(self) -> None:
+        machines = [self.machines[name] for name in self.up()]
+        for job in self.judge.waiting():
+            spec = self.world.works[job].spec
+            fitting = (
+                one for one in machines
+                if (spec["builds"] is None or one.machine["build"] in spec["builds"])
+                and (spec["stubble"] or not one.machine["stubble"])
+            )  # fmt: skip
+            self.judge.could_run(job, any(one.has_room(spec) for one in fitting))
+
     def _region(self) -> None:
         boot, host = self.simulation.boot, self.simulation.host
         self.store = Store(boot(host("state", "")), self.scenario.state)
@@ -171,6 +186,7 @@
         for write in request["writes"]:
             if write.get("write") == "lead":
                 token = self.store.service.keys["lead"]["mark"]
+                self.world.deliver_kept()
                 ended = self._ended if self._ended is not None else now
                 self._ended = None
                 self.judge.note(f"{caller} leads with token {token}")
@@ -314,12 +330,24 @@
             case "machine_back":
                 for name in self._some(fault):
                     self._back(name, fault)
+            case "report_copies" if fault.for_next:
+                self.world.kept = []
+                later(for_s, lambda: setattr(self.world, "kept", None))
             case "report_copies":
                 self.world.copy_after = fault.factor
                 later(for_s, lambda: setattr(self.world, "copy_after", None))
             case "late_writes":
-                store.late_share = fault.share or 0.0
+                store.late_share, store.late_at_once = fault.share or 0.0, fault.at_once
                 later(for_s, lambda: setattr(store, "late_share", 0.0))
+            case "cancel_at_end":
+                self.judge.on_complete = lambda job: self._cancel_at_end(job, fault.share or 0.0)
+                later(for_s, lambda: setattr(self.judge, "on_complete", lambda job: None))
+            case "close_looks":
+                self.users.close_looks = True
+                later(for_s, lambda: setattr(self.users, "close_looks", False))
+            case "odd_requests":
+                for after in range(int(for_s / ODD_EVERY_S)):
+                    later(after * ODD_EVERY_S, self._odd_requests)
             case "late_commands":
                 self.world.hold = (fault.share or 0.0, fault.factor or 0.0)
                 later(for_s, lambda: setattr(self.world, "hold", (0.0, 0.0)))
@@ -355,6 +383,17 @@
             for name in self.random.sample(names, min(HANG_AT_ONCE, len(names))):
                 self.machines[name].hang(fault.hang_s)
 
+    def _cancel_at_end(self, job: str, share: float) -> None:
+        if self.random.random() < share:
+            self.users.cancel(job, 0.0)
+
+    def _odd_requests(self) -> None:
+        """At every node: a submission repeated, a cancel of what is done, what can't run, what lacks a field."""
+        known = sorted(self.world.works)
+        for name in self.names:
+            for spec in (self.world.works[self.random.choice(known)].spec,) if known else ():
+                Deferred.fromCoroutine(self.users.odd(self.api[name], spec))
+
     def _some(self, fault: Fault) -> list[str]:
         names = self.up(fault.zone)
         return sorted(self.random.sample(names, min(fault.count or 0, len(names))))
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -22,8 +22,13 @@
 
 
 class Meeting:
-    def __init__(self, base, faults, until, jobs=None, seed=1, **facts):
+    def __init__(self, base, faults, until, jobs=None, seed=1, limit=None, boot_s=None, **facts):
+        """`limit`: of each team, in CPUs; `boot_s`: of each type."""
         scenario = load(str(WHERE / f"{base}.toml"))
+        for team in scenario.teams:
+            team.cpus_max = team.cpus_max if limit is None else limit
+        for kind in scenario.types:
+            kind.boot_s = kind.boot_s if boot_s is None else boot_s
         scenario.faults = [msgspec.convert(fault, Fault) for fault in faults]
         scenario.duration_s = until
         if jobs is not None:
