--- a/tests/mix.py
+++ b/tests/mix.py
@@ -27,7 +27,7 @@
 
 
 def drawn(seed: int) -> list[dict]:
-    """Ten troubles, some of which begin a second one within five seconds."""
+    """Thirteen troubles, some of which begin a second one within five seconds."""
     rng = random.Random(seed)
     refused, frozen = rng.uniform(25.0, 70.0), rng.uniform(20.0, 75.0)
     back_s = rng.choice([0.1, 0.6, 6.0])
@@ -41,11 +41,18 @@
          "back_s": back_s},
         {"kind": "cloud_outage", "at_s": rng.uniform(25.0, 70.0), "for_s": 25.0},
         {"kind": "machine_cut", "at_s": rng.uniform(25.0, 70.0), "count": 25, "for_s": 24.0},
+        {"kind": "machine_mute", "at_s": rng.uniform(15.0, 60.0), "count": 25, "for_s": 30.0},
+        {"kind": "cancel_now", "at_s": frozen - rng.uniform(0.0, 1.0), "count": 12, "hang_s": rng.choice([8.0, 45.0])},
+        {"kind": "cancel_at_end", "at_s": 10.0, "for_s": 60.0, "share": 0.2},
+        {"kind": "close_looks", "at_s": 10.0, "for_s": 70.0},
+        {"kind": "odd_requests", "at_s": 10.0, "for_s": 70.0},
+        {"kind": "late_writes", "at_s": rng.uniform(10.0, 60.0), "for_s": 25.0, "share": 0.3, "at_once": True},
+        {"kind": "report_copies", "at_s": 10.0, "for_s": 70.0, "factor": 1.0, "for_next": True},
     ]  # fmt: skip
     many = {"machine_deaf", "machine_back"}
     return [
         fault | {"count": fault["count"] * 6} if fault["kind"] in many else fault
-        for fault in (*rng.sample(MIX, 5), *rng.sample(more, 5))
+        for fault in (*rng.sample(MIX, 5), *rng.sample(more, 8))
     ]
 
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -131,6 +131,16 @@
     assert {json.loads(one.body)["standing"] for one in answers[5:]} == {"cancelled"}
 
 
+MALFORMED = ["what", "wk-", "wk-12", "wk-00000x", "wk-0000001\u0661", "wk-9999999999999999999", "%2e%2e"]
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_a_malformed_id_is_unknown_and_never_an_error(world, name):
+    api = world.api()
+    for operation in ("query", "cancel"):
+        assert world.run(api._guarded(operation)(b"\xff{", name)).status == 404
+
+
 def test_cancel_of_a_job_that_is_done_says_done(world):
     world.submit()
     world.state.transact(
