--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -283,7 +283,7 @@
      [REFUSED, OUTAGE, {"kind": "node_freeze", "at_s": ASIDE_S, "node": "leader", "for_s": 30.0}], None, silent),
     ("and the cloud is down", [REFUSED, OUTAGE, CLOUD_DOWN], None, stopped_in_the_gap),
     ("and machines hear nothing",
-     [REFUSED, OUTAGE, CLOUD_DOWN, {"kind": "machine_deaf", "at_s": 29.0, "count": 6, "for_s": 30.0}], None,
+     [REFUSED, OUTAGE, CLOUD_DOWN, {"kind": "machine_deaf", "at_s": 29.0, "count": 9, "for_s": 30.0}], None,
      nothing_more),
     ("cancelled through the next, the leader cut from store and peers", LONELY, None, told_by_the_next_leader),
     ("and some machines hear only the old leader, the cloud down", [*LONELY, CLOUD_DOWN], hears_only_the_old_leader,
