Tests: one frame for what a deliberate fault shows; odd requests without a loop over one

Three copies of the same play-and-look became signs_of in tests/test_meetings.py; every assertion stays.

--- a/lab/world.py
+++ b/lab/world.py
@@ -389,9 +389,9 @@
 
     def _odd_requests(self) -> None:
         """At every node: a submission repeated, a cancel of what is done, what can't run, what lacks a field."""
-        known = sorted(self.world.works)
-        for name in self.names:
-            for spec in (self.world.works[self.random.choice(known)].spec,) if known else ():
+        if known := sorted(self.world.works):
+            for name in self.names:
+                spec = self.world.works[self.random.choice(known)].spec
                 Deferred.fromCoroutine(self.users.odd(self.api[name], spec))
 
     def _some(self, fault: Fault) -> list[str]:
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -26,6 +26,7 @@
 from meadowcross.replica.follower import Follower
 from meadowcross.replica.picture import Picture
 from tests.test_addition import WHERE
+from tests.test_meetings import signs_of
 
 CANCEL_S = 24.0
 REFUSED_S, OUTAGE_S, ASIDE_S = 29.4, 30.6, 30.7
@@ -416,17 +417,7 @@
 def test_a_deliberate_fault_shows(monkeypatch, fault, row, shown):
     came = next(one[3] for one in ROWS if one[0] == row)
     fault(monkeypatch)
-
-    def shows(seed):
-        gap = gap_of(row, monkeypatch, seed)
-        found = gap.play()
-        try:
-            came(gap)
-        except AssertionError:
-            found.add("the row's mark")
-        return shown in found
-
-    assert any(shows(seed) for seed in (1, 2, 3))
+    assert any(shown in signs_of(gap_of(row, monkeypatch, seed), came) for seed in (1, 2, 3))
 
 
 # The word to who leads
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -19,7 +19,17 @@
 from meadowcross.workers.roster import Change, Roster
 from tests.test_addition import deaf_is_gone, largest_starved
 from tests.test_lab import no_limits, placements_forgotten, starts_before_storing
-from tests.test_meetings import FLOW, LONG, STAYS, Meeting, answered_from_memory, hand_over, kill, unheard_is_gone
+from tests.test_meetings import (
+    FLOW,
+    LONG,
+    STAYS,
+    Meeting,
+    answered_from_memory,
+    hand_over,
+    kill,
+    signs_of,
+    unheard_is_gone,
+)
 
 CLOUD_DOWN = {"kind": "cloud_outage", "at_s": 28.0, "for_s": 34.0}
 CALLED_OFF = {"class": "idle", "tasks": 2, "run_s": 200.0, "count": 30, "at_s": 8.0, "every_s": 1.0}
@@ -465,13 +475,7 @@
 def test_a_deliberate_fault_shows(monkeypatch, fault, row, shown):
     make, came = next(one[1:] for one in ROWS if row in one[0])
     fault(monkeypatch)
-    meeting = make()
-    found = meeting.play()
-    try:
-        came(meeting)
-    except AssertionError:
-        found.add("the row's mark")
-    assert shown in found
+    assert shown in signs_of(make(), came)
 
 
 WAITING = [
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -57,6 +57,16 @@
         return broken | ({"told before they were gone"} if self.result["kept_at_word"] else set())
 
 
+def signs_of(meeting, came):
+    """What is wrong with a play: rules broken, and whether what the row asks for did not come about."""
+    found = meeting.play()
+    try:
+        came(meeting)
+    except AssertionError:
+        found.add("the row's mark")
+    return found
+
+
 def writes(request, prefix):
     return [write for write in request["writes"] if str(write.get("write", "")).startswith(prefix)]
 
@@ -374,7 +384,7 @@
     (reaped_before_stored, "end far apart", "again"),
     (copies_are_new, "old reports", "ran_twice"),
     (never_asked_of_machines, "only machines know", "told before they were gone"),
-    (stages_unconditional, "a stage of a rebuild", "the meeting's mark"),
+    (stages_unconditional, "a stage of a rebuild", "the row's mark"),
     (open_though_ended, "open jobs are written back", "went_back"),
 ]
 
@@ -384,13 +394,9 @@
     make, came = next(one[1:] for one in ROWS if row in one[0])
     fault(monkeypatch)
     meeting = make()
-    found = meeting.play()
+    found = signs_of(meeting, came)
     if meeting.result["again"]:
         found.add("again")
-    try:
-        came(meeting)
-    except AssertionError:
-        found.add("the meeting's mark")
     assert shown in found
 
 
