ruff format over the tree

Cause: the tree was linted but not formatted, so each change could carry unrelated layout. Change: `ruff format .` with the pinned ruff, nothing else.

--- a/lab/machines.py
+++ b/lab/machines.py
@@ -81,7 +81,6 @@
         self.courier: HttpClient | None = None
         """Who delivers what outlives its sender."""
 
-
     def deliver(self, body: bytes, node: str) -> None:
         """A copy of a report; nobody hears the answer."""
         if self.courier is not None:
@@ -358,9 +357,7 @@
         """What a task saved by itself while it ran."""
         every = run.work.spec["stookS"]
         if every > 0 and run.began is not None:
-            run.work.saved[run.number] = max(
-                run.work.saved.get(run.number, 0.0), self._progress(run) // every * every
-            )
+            run.work.saved[run.number] = max(run.work.saved.get(run.number, 0.0), self._progress(run) // every * every)
 
     def _stop(self, key: Start, grace: float) -> None:
         run = self._runs[key]
--- a/lab/net.py
+++ b/lab/net.py
@@ -414,9 +414,7 @@
         self.host.listening[port] = factory
         return None
 
-    def connectTCP(
-        self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None
-    ) -> Connector:
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float = 30, bindAddress: Any = None) -> Connector:
         connector = Connector(self, host, port, factory, timeout)
         connector.connect()
         return connector
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -78,8 +78,6 @@
     return 0
 
 
-
-
 def most_bytes(settings: Settings) -> int:
     """For the picture of the store: a quarter of what the process may hold, or as much as seems small anywhere."""
     limits = settings.facts.machine_limits
@@ -317,7 +315,16 @@
         cancels = Cancels(reactor, current_term, known_leader, lambda *told: self.link.ask_cancels(*told))
         hearer = Hearer(reactor, same, lambda leader: self.link.tell(HintsWanted(node), leader))
         self.link = PeerLink(
-            reactor, settings.peers, beat, own_progress, on_beat, serve, on_replica, on_lost, be_handed, picture_part,
+            reactor,
+            settings.peers,
+            beat,
+            own_progress,
+            on_beat,
+            serve,
+            on_replica,
+            on_lost,
+            be_handed,
+            picture_part,
             cancels.heard,
         )
         self.audit = Audit(reactor, self.store, eras, follower, our_audit) if follower is not None else None
--- a/meadowcross/estimates/learned.py
+++ b/meadowcross/estimates/learned.py
@@ -415,9 +415,7 @@
             entry.time.add(ran, weight)
             self.unsaved[name] = self.unsaved.get(name, 0.0) + weight
 
-    def _see_widths(
-        self, entry: Entry, kind: Kind, ran: Seconds, job: _Job | None, weight: float, miss: float
-    ) -> None:
+    def _see_widths(self, entry: Entry, kind: Kind, ran: Seconds, job: _Job | None, weight: float, miss: float) -> None:
         """Stretch or narrow what is stated by whether it held (adaptive conformal inference,
         Gibbs and Candès, 2021): over time it then holds as often as it says, whatever the shape."""
         if entry.ends >= 1:
--- a/meadowcross/estimates/replay.py
+++ b/meadowcross/estimates/replay.py
@@ -192,9 +192,17 @@
             held = sum(said.intervals[2][0] <= actual <= said.intervals[2][1] for said, actual in first)
             scores.append(
                 ClassScore(
-                    name, len(runs), len(judged), own.within_20, own.covered_50, own.covered_80, own.covered_95,
-                    round(best, 4) if best is not None else None, round(held / len(first), 4),
-                    tallies["owner"].score(self.after), tallies["corrected_mean"].score(self.after),
+                    name,
+                    len(runs),
+                    len(judged),
+                    own.within_20,
+                    own.covered_50,
+                    own.covered_80,
+                    own.covered_95,
+                    round(best, 4) if best is not None else None,
+                    round(held / len(first), 4),
+                    tallies["owner"].score(self.after),
+                    tallies["corrected_mean"].score(self.after),
                 )
             )
         return scores
--- a/meadowcross/estimates/samples.py
+++ b/meadowcross/estimates/samples.py
@@ -86,8 +86,6 @@
 def _running(book: Book, now: Instant) -> Iterable[tuple[JobSpec, list[Seconds]]]:
     for job in book.jobs.values():
         if job.cancelled is None and not job.ending:
-            lasted = [
-                ran(job, p, now) for p in job.placed.values() if p.phase is Phase.RUNNING and p.stop_at is None
-            ]
+            lasted = [ran(job, p, now) for p in job.placed.values() if p.phase is Phase.RUNNING and p.stop_at is None]
             if lasted:
                 yield job.spec, lasted
--- a/meadowcross/jobs/lookup.py
+++ b/meadowcross/jobs/lookup.py
@@ -188,9 +188,7 @@
             for answer in answers:
                 answer.errback(failure)
 
-    async def _read(
-        self, jobs: Iterable[JobId], found: dict[JobId, Found], some_found: Callable[[], None]
-    ) -> None:
+    async def _read(self, jobs: Iterable[JobId], found: dict[JobId, Found], some_found: Callable[[], None]) -> None:
         """Put into `found` what is found out; what a failing read leaves is unanswered. `some_found` is told before
         more is read: an answer that waits for others' grows old."""
         known = {job: seen for job in jobs if (seen := self._remembered(job)) is not None}
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -268,9 +268,7 @@
             return
         line.send(m.Forwarded(message.number, answer.status, answer.body.decode(), answer.retry_after))
 
-    async def _question(
-        self, line: _Line, make: Callable[[int], m.Message], timeout: Seconds
-    ) -> Reply | None:
+    async def _question(self, line: _Line, make: Callable[[int], m.Message], timeout: Seconds) -> Reply | None:
         """Send a question under a number of its own and wait for its answer."""
         if len(self._questions) >= MAX_QUESTIONS:
             return None
@@ -287,9 +285,7 @@
         finally:
             self._questions.pop(number, None)
 
-    async def forward(
-        self, operation: str, job: str, body: bytes, to: NodeName | None = None
-    ) -> Answer | None:
+    async def forward(self, operation: str, job: str, body: bytes, to: NodeName | None = None) -> Answer | None:
         """The answer of a peer that the state service answers, or of the one named; None without one in time."""
         beats = [beat for beat in self._fresh() if (beat.store_ok if to is None else beat.node == to)]
         line = next((self._lines[beat.node] for beat in beats if beat.node in self._lines), None)
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -146,17 +146,13 @@
         self.sender = Sender(
             reactor, http, self.roster, token, self._on_direct_report, self._on_unsent, self._may_start
         )
-        self.keeper = Keeper(
-            reactor, self.book, self.committer, store.max_changes, self._stored, self._ended
-        )
+        self.keeper = Keeper(reactor, self.book, self.committer, store.max_changes, self._stored, self._ended)
         self.fleet = FleetManager(reactor, settings, operator, cloud, types, self)
         self._outlooks: Outlooks | None = None
         if self._learned is not None:
             from meadowcross.leadership.outlook import Outlooks
 
-            self._outlooks = Outlooks(
-                reactor, self.book, self.roster, self.view, types, self.fleet, self._learned
-            )
+            self._outlooks = Outlooks(reactor, self.book, self.roster, self.view, types, self.fleet, self._learned)
         self.loaded = False
         self._merged: Merged | None = None
         self._followed = False
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -133,9 +133,7 @@
     return weights.alpha * cpu + weights.beta * memory
 
 
-def network_term(
-    machine: MachineId, zone: str, siblings: dict[MachineId, tuple[str, int]], weights: Operator
-) -> float:
+def network_term(machine: MachineId, zone: str, siblings: dict[MachineId, tuple[str, int]], weights: Operator) -> float:
     cost = 0.0
     for other, (other_zone, count) in siblings.items():
         if other == machine:
@@ -225,11 +223,7 @@
         if count == 0:
             continue
         fitting = [
-            o
-            for o in offered
-            if allowed(spec, o.kind)
-            and o.fits(spec)
-            and may_enter(want, held.get(o.machine))
+            o for o in offered if allowed(spec, o.kind) and o.fits(spec) and may_enter(want, held.get(o.machine))
         ]
         if plain:
             machines = _fill(want, fitting, count, weights)
--- a/meadowcross/rebuild/audit.py
+++ b/meadowcross/rebuild/audit.py
@@ -76,11 +76,6 @@
             return
         await self._follower.glance(0.0)
         after = picture.get(key)
-        if (
-            self._follower.warm
-            and self._follower.picture is picture
-            and after is not None
-            and after.mark == known.mark
-        ):
+        if self._follower.warm and self._follower.picture is picture and after is not None and after.mark == known.mark:
             # The feed, which reaches beyond the question, tells of no drop.
             self._eras.lost(f"{key} is gone")
--- a/meadowcross/rebuild/merge.py
+++ b/meadowcross/rebuild/merge.py
@@ -119,4 +119,3 @@
             job, _ = jm.parse_chunk_key(key)
             if job in ended or (job not in open_jobs and key not in new):
                 del known[key]
-
--- a/meadowcross/replica/follower.py
+++ b/meadowcross/replica/follower.py
@@ -337,4 +337,3 @@
         """Compare with what the leader counted; True also where that revision is not remembered."""
         ours = self.picture.counts_at(revision) if self.state is State.WARM else None
         return ours is None or ours == counts
-
--- a/meadowcross/snapshots/writer.py
+++ b/meadowcross/snapshots/writer.py
@@ -97,9 +97,7 @@
         ]  # fmt: skip
         if not full:
             lines += [files.Line(key, revision, dropped=True) for key in self._last if key not in marks]
-        manifest = files.Manifest(
-            files.KIND, files.FORMAT, era, revision, after, len(lines), 0, "", self._node, now
-        )
+        manifest = files.Manifest(files.KIND, files.FORMAT, era, revision, after, len(lines), 0, "", self._node, now)
         await self._in_thread(files.write, self._directory, manifest, lines, MOST_BYTES)
         self._last, self._at = marks, (era, revision)
         self._chain = 0 if full else self._chain + 1
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -129,9 +129,7 @@
             raise Refused(f"read of {key}: {reply.status}")
         return m.decode_item(reply.body)
 
-    async def page(
-        self, prefix: str, limit: int, after: str = "", urgency: Urgency = Urgency.LEADERSHIP
-    ) -> m.Page:
+    async def page(self, prefix: str, limit: int, after: str = "", urgency: Urgency = Urgency.LEADERSHIP) -> m.Page:
         """At most so many keys under the prefix, in order, beginning after one."""
         since = f"&since={quote(after, safe='/')}" if after else ""
         seen = self._seen()
--- a/meadowcross/tickets/cli.py
+++ b/meadowcross/tickets/cli.py
@@ -23,7 +23,6 @@
         command.add_argument("--json", action="store_true", help="print one object")
         command.set_defaults(act=act)
 
-
     submit = commands.add_parser("submit", help="submit the ticket to a gateway")
     submit.add_argument("file", metavar="FILE")
     submit.add_argument("-p", "--parameter", metavar="NAME=VALUE", action="append", default=[], help="repeatable")
--- a/meadowcross/tickets/keys.py
+++ b/meadowcross/tickets/keys.py
@@ -133,9 +133,7 @@
             .sign(key, hashes.SHA256())
         )
         write_private(os.path.join(directory, f"{AUTHORITY}.key"), _pem(key))
-        write_private(
-            os.path.join(directory, f"{AUTHORITY}.pem"), certificate.public_bytes(serialization.Encoding.PEM)
-        )
+        write_private(os.path.join(directory, f"{AUTHORITY}.pem"), certificate.public_bytes(serialization.Encoding.PEM))
         made = cls(directory)
         made._write_revoked([])
         return made
@@ -179,9 +177,7 @@
                 usage = one.extensions.get_extension_for_class(x509.ExtendedKeyUsage).value
                 kind = SERVER if ExtendedKeyUsageOID.SERVER_AUTH in usage else SUBMITTER
                 until = one.not_valid_after_utc.strftime("%Y-%m-%d %H:%M")
-                found.append(
-                    Issued(common_name(one), kind, f"{one.serial_number:x}", until, one.serial_number in gone)
-                )
+                found.append(Issued(common_name(one), kind, f"{one.serial_number:x}", until, one.serial_number in gone))
         return found
 
     def revoke(self, name: str) -> str:
--- a/meadowcross/tickets/plan.py
+++ b/meadowcross/tickets/plan.py
@@ -60,9 +60,7 @@
     job = job_of(raw, parameters)
     numbers = {step.name: number for number, step in enumerate(job.steps)}
     steps = [_step(step, f"steps[{i}]", numbers, submitter) for i, step in enumerate(job.steps)]
-    plan = Plan(
-        job.name, submitter.name, submitter.team, submitter.job_class, submitter.priority.value, steps
-    )
+    plan = Plan(job.name, submitter.name, submitter.team, submitter.job_class, submitter.priority.value, steps)
     most = TICKET_TIMES * submitter.max_tasks
     if plan.tasks > most:
         raise TicketError("steps", f"{plan.tasks} tasks in all; {submitter.name} may have {most}")
--- a/measure/bounds.py
+++ b/measure/bounds.py
@@ -240,9 +240,7 @@
     return lines
 
 
-def _money_lines(
-    day: Day, facts: Facts, spent: dict[str, float], done: Sequence[DayJob], lasted: float
-) -> list[Line]:
+def _money_lines(day: Day, facts: Facts, spent: dict[str, float], done: Sequence[DayJob], lasted: float) -> list[Line]:
     all_paid = paid(spent)
     if all_paid <= 0:
         return []
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -411,9 +411,7 @@
 ]  # fmt: skip
 
 
-@pytest.mark.parametrize(
-    ("fault", "row", "shown"), FAULTS, ids=[f"{fault.__name__}-{row}" for fault, row, _ in FAULTS]
-)
+@pytest.mark.parametrize(("fault", "row", "shown"), FAULTS, ids=[f"{fault.__name__}-{row}" for fault, row, _ in FAULTS])
 def test_a_deliberate_fault_shows(monkeypatch, fault, row, shown):
     came = next(one[3] for one in ROWS if one[0] == row)
     fault(monkeypatch)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -95,9 +95,10 @@
         while not self.over.wait(0.2):
             with self.lock:
                 for key, task in self.tasks.items():
-                    if task["standing"] == "running" and time.monotonic() - self.since.setdefault(
-                        key, time.monotonic()
-                    ) > 1.0:
+                    if (
+                        task["standing"] == "running"
+                        and time.monotonic() - self.since.setdefault(key, time.monotonic()) > 1.0
+                    ):
                         self.end(key)
                 report = self.report()
             status, answer = call(self.node, "POST", "/checkin", report)
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -328,8 +328,14 @@
 
 @pytest.mark.parametrize(
     "arguments",
-    [["--history", "{}/none"], ["--history", "{}"], ["--seed", "x"], ["--after", "-1"], ["--bad"],
-     ["--plot", "{}/x.abc"]],
+    [
+        ["--history", "{}/none"],
+        ["--history", "{}"],
+        ["--seed", "x"],
+        ["--after", "-1"],
+        ["--bad"],
+        ["--plot", "{}/x.abc"],
+    ],
 )
 def test_what_replay_cannot_do_it_says_in_one_line(arguments, tmp_path, capsys):
     given_ = [argument.format(tmp_path) for argument in arguments]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -308,9 +308,7 @@
 ]  # fmt: skip
 
 
-@pytest.mark.parametrize(
-    ("steps", "cancelled", "states", "due"), [s[1:] for s in SETTLED], ids=[s[0] for s in SETTLED]
-)
+@pytest.mark.parametrize(("steps", "cancelled", "states", "due"), [s[1:] for s in SETTLED], ids=[s[0] for s in SETTLED])
 def test_what_follows_from_a_tickets_steps(steps, cancelled, states, due):
     made = settled(record(*steps, cancelled=cancelled))
     assert " ".join(step.state.value for step in made.steps) == states and ready(made) == due
@@ -529,9 +527,13 @@
     world.pass_time(3.0)
     for i, (rank, name, count) in enumerate(zip(ranks, names, tasks, strict=True)):
         if i in by_ticket:
-            document = HEAD + "steps:\n- name: a\n  parameterSpace:\n    taskParameterDefinitions:\n" + (
-                f'    - {{name: F, type: INT, range: "1-{count}"}}\n  hostRequirements: {{attributes: '
-                "[{name: attr.meadowcross.type, anyOf: [small]}]}\n" + RUN
+            document = (
+                HEAD
+                + "steps:\n- name: a\n  parameterSpace:\n    taskParameterDefinitions:\n"
+                + (
+                    f'    - {{name: F, type: INT, range: "1-{count}"}}\n  hostRequirements: {{attributes: '
+                    "[{name: attr.meadowcross.type, anyOf: [small]}]}\n" + RUN
+                )
             )
             gateway.driver._new_id = lambda name=name: name
             body = json.dumps({"key": name, "document": document}).encode()
--- a/tests/test_hunt.py
+++ b/tests/test_hunt.py
@@ -469,9 +469,7 @@
 ]
 
 
-@pytest.mark.parametrize(
-    ("fault", "row", "shown"), FAULTS, ids=[f"{fault.__name__}-{row}" for fault, row, _ in FAULTS]
-)
+@pytest.mark.parametrize(("fault", "row", "shown"), FAULTS, ids=[f"{fault.__name__}-{row}" for fault, row, _ in FAULTS])
 def test_a_deliberate_fault_shows(monkeypatch, fault, row, shown):
     make, came = next(one[1:] for one in ROWS if row in one[0])
     fault(monkeypatch)
--- a/tests/test_incremental.py
+++ b/tests/test_incremental.py
@@ -151,9 +151,7 @@
         assert set(self.book.waiting) == {name for name, one in self.book.jobs.items() if one.waiting_count}
         placed = Counter(one.rank for one in self.book.jobs.values() for _ in one.placed)
         assert self.book.placed_ranks == placed
-        free = {
-            m.id for m in self.roster.machines.values() if m.type is not None and m.type.cpus - m.cpus > EPSILON
-        }
+        free = {m.id for m in self.roster.machines.values() if m.type is not None and m.type.cpus - m.cpus > EPSILON}
         assert set(self.roster.roomy) == free
         offered = {o.machine: o for o in self.view.offers()}
         assert offered == {o.machine: o for o in self.view.all_offers() if o.free_cpus > EPSILON}
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -204,5 +204,3 @@
     assert all(key in told["takeovers"][0] for key in ("dead_s", "token_s", "first_placement_s"))
     bad = run(str(tmp_path / "absent.toml"))
     assert bad.returncode == 2 and "absent.toml" in bad.stderr and bad.stdout == ""
-
-
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -64,9 +64,7 @@
 @pytest.mark.parametrize("leads", [False, True])
 def test_all_workers_at_once_are_told_where_to_go_or_answered(world, leads):
     term = world.lead() if leads else None
-    api = WorkerApi(
-        lambda: term.on_report if term else None, lambda: NodeName("n1"), Visitors(world.clock, 5.0)
-    )
+    api = WorkerApi(lambda: term.on_report if term else None, lambda: NodeName("n1"), Visitors(world.clock, 5.0))
     world.net.calls.clear()
     answers = []
     for number in range(600):
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -119,8 +119,17 @@
     ("no steps", HEAD + "steps: []\n", {}, "steps", ""),
     ("many steps", HEAD + "steps:\n" + "".join(f"- name: s{i}\n{RUN}" for i in range(65)), {}, "steps", "at most"),
     ("no command", HEAD + "steps:\n- name: a\n  script: {actions: {onRun: {}}}\n", {}, "command", "required"),
-    ("a cycle", HEAD + "steps:\n- name: a\n  dependencies: [{dependsOn: b}]\n" + RUN
-     + "- name: b\n  dependencies: [{dependsOn: a}]\n" + RUN, {}, "steps", "cycle"),
+    (
+        "a cycle",
+        HEAD
+        + "steps:\n- name: a\n  dependencies: [{dependsOn: b}]\n"
+        + RUN
+        + "- name: b\n  dependencies: [{dependsOn: a}]\n"
+        + RUN,
+        {},
+        "steps",
+        "cycle",
+    ),
     ("itself", HEAD + "steps:\n- name: a\n  dependencies: [{dependsOn: a}]\n" + RUN, {}, "steps[0]", "itself"),
     ("an unknown step", HEAD + "steps:\n- name: a\n  dependencies: [{dependsOn: b}]\n" + RUN, {}, "steps[0]", "'b'"),
     ("no tasks", ranged(""), {}, "range", ""),
@@ -141,9 +150,7 @@
 ]
 
 
-@pytest.mark.parametrize(
-    ("text", "parameters", "field", "word"), [r[1:] for r in REFUSED], ids=[r[0] for r in REFUSED]
-)
+@pytest.mark.parametrize(("text", "parameters", "field", "word"), [r[1:] for r in REFUSED], ids=[r[0] for r in REFUSED])
 def test_what_cannot_be_taken_is_refused_by_its_field_in_one_line(text, parameters, field, word, tmp_path, capsys):
     raw = text if isinstance(text, bytes) else text.encode()
     with pytest.raises(TicketError) as refused:
