--- a/tests/test_addition.py
+++ b/tests/test_addition.py
@@ -146,7 +146,9 @@
     apply = Roster.apply
 
     def applied(self, machine, report, now):
-        return apply(self, machine, msgspec.structs.replace(report, token=min(report.token, self.token)), now)
+        # Passed over as a whole. With its token lowered instead, the next leader's tasks in it counted as proof that
+        # records were lost, and the lonely leader stood down for that: another guard hid the fault.
+        return None if report.token > self.token else apply(self, machine, report, now)
 
     monkeypatch.setattr(Roster, "apply", applied)
 
