Store: shares go by the number of nodes, refusals shrink them, requests counted by cause

Change: each follower gets an equal part of the remaining 40 % (`store/shares.py`; three nodes as before). A 429 takes a quarter of a budget's rate away, back within some ten seconds. Of the loops around store calls two could repeat without a pause: `Committer.run` after a conflict that re-reading does not settle, and an election that finds a former life's hold still alive; both pause now.

--- a/lab/services.py
+++ b/lab/services.py
@@ -11,6 +11,7 @@
 
 from lab.http import Answer, serve
 from lab.net import Reactor
+from lab.pace import Pace
 from lab.scenario import Cloud, State, Type
 from lab.standins import CloudService, StateService
 
@@ -61,6 +62,7 @@
         self.on_written: Callable[[str, dict[str, Any]], bool] = lambda caller, request: True
         """Told of each transaction that wrote; False: its answer is lost."""
         self.requests = self.written = self.refusals = 0
+        self.pace = Pace()
         self._kept: deque[tuple[float, int, dict[str, Any], dict[int, tuple[float, float]]]] = deque(maxlen=600)
         """What the store held each second: its disk, so to speak."""
         serve(reactor, 2379, self._serve)
@@ -140,6 +142,7 @@
         if path == "/multi":
             request = json.loads(body)
             writes = len(request["writes"])
+        self.pace.asked(caller, writes > 0)
         if not self._requests.take(1, now) or (writes and not self._writes.take(writes, now)):
             self.refusals += 1
             return 429, {}
--- a/lab/world.py
+++ b/lab/world.py
@@ -20,6 +20,7 @@
 from meadowcross.common.http import HttpClient
 from meadowcross.common.settings import Operator, Settings
 from meadowcross.common.types import Address
+from meadowcross.store.shares import LEADER_SHARE, follower_share
 
 KINDS = {"array": "batch", "gang": "group", "service": "daemon"}
 RANKS = {"production": "critical", "high": "urgent", "normal": "normal", "low": "idle"}
@@ -89,6 +90,8 @@
             self.boot(name)
         for at in range(int(SWEEP_S), int(scenario.duration_s), int(SWEEP_S)):
             self.simulation.at(float(at), self._sweep)
+        for at in range(1, int(scenario.duration_s)):
+            self.simulation.at(float(at), self._look_at_pace)
         self.judge.quiet_from = max((over(fault) for fault in scenario.faults), default=0.0)
         for at in range(int(self.judge.quiet_from) + 1, int(scenario.duration_s), int(LOOK_EVERY_S)):
             self.simulation.at(float(at), self._look_for_waiting)
@@ -103,6 +106,13 @@
     def _sweep(self) -> None:
         gc.collect()
 
+    def _look_at_pace(self) -> None:
+        leader, rps = self.leader(), self.scenario.state.rps
+        others = follower_share(self.scenario.nodes)
+        allowed = {name: rps * (LEADER_SHARE if name == leader else others) for name in self.names}
+        for name in self.store.pace.look(allowed):
+            self.judge.breaks("busy_loop", f"{name} asked the state service at its budget's rate and wrote nothing")
+
     def _look_for_waiting(self) -> None:
         machines = [self.machines[name] for name in self.up()]
         for job in self.judge.waiting():
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -108,8 +108,9 @@
         from meadowcross.replica.hints import Hearer, Teller
         from meadowcross.replica.messages import Handed, Hints, HintsWanted
         from meadowcross.replica.picture import Counts
-        from meadowcross.store.client import SHARE_OF_LEADER, SHARE_OF_OTHERS, StoreClient
+        from meadowcross.store.client import StoreClient
         from meadowcross.store.messages import Condition
+        from meadowcross.store.shares import LEADER_SHARE, follower_share
         from meadowcross.workers.api import WorkerApi
         from meadowcross.workers.visitors import Visitors
 
@@ -119,7 +120,8 @@
         node = NodeName(settings.host_name)
         facts = settings.facts
         http = HttpClient(reactor)
-        self.store = StoreClient(reactor, http, Address(settings.outside.state), facts.state)
+        share = follower_share(1 + len(settings.peers))
+        self.store = StoreClient(reactor, http, Address(settings.outside.state), facts.state, share)
         cloud = Cloud(reactor, http, Address(settings.outside.cloud), facts.cloud)
         self.catalog = Catalog(reactor, cloud, self.store)
         self.term: Term | None = None
@@ -141,7 +143,7 @@
         def begin_term(token: Token) -> Term:
             from meadowcross.leadership.term import Term
 
-            self.store.set_share(SHARE_OF_LEADER)
+            self.store.set_share(LEADER_SHARE)
             term = Term(
                 reactor,
                 settings,
@@ -165,7 +167,7 @@
             return term
 
         def end_term() -> None:
-            self.store.set_share(SHARE_OF_OTHERS)
+            self.store.set_share(share)
 
         def current_term() -> Term | None:
             return self.term if self.term is not None and not self.term.stopped else None
--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -26,6 +26,7 @@
 log = logger("leadership")
 
 RETRY_S: Seconds = 0.25
+END_PAUSE_S: Seconds = 0.05
 YIELD_HOLDS = 3.0
 """A node that made way stands again only after so many holds: the others go first."""
 WATCH_S: Seconds = 20.0
@@ -149,6 +150,8 @@
                 return
             if item.hold is not None:
                 await self._store.end_hold(item.hold)
+                # The key goes with its hold; should it not, the next look at it must not follow at once.
+                await pause(self._clock, END_PAUSE_S)
                 return
         self._made_way_in_vain = False
         self.seasoned = True
--- a/meadowcross/rebuild/gather.py
+++ b/meadowcross/rebuild/gather.py
@@ -15,14 +15,14 @@
 from meadowcross.replica.follower import Follower
 from meadowcross.replica.picture import Picture
 from meadowcross.store.budget import Urgency
-from meadowcross.store.client import SHARE_OF_LEADER, StoreClient
+from meadowcross.store.client import StoreClient
 from meadowcross.store.messages import Item
+from meadowcross.store.shares import LEADER_SHARE, REBUILD_SHARE
 
 log = logger("rebuild")
 
 PART_BYTES = 128 * 1024
 """Of one answer, which fits a netstring of the link."""
-SHARE_OF_REBUILD = 0.8
 TRIES = 3
 AGAIN_S: Seconds = 0.3
 
@@ -117,7 +117,7 @@
 
     def hurry(self, on: bool) -> None:
         """While much is written back, four fifths of the store's rate; else a leader's share."""
-        self._store.set_share(SHARE_OF_REBUILD if on else SHARE_OF_LEADER)
+        self._store.set_share(REBUILD_SHARE if on else LEADER_SHARE)
 
     def all_told(self) -> bool:
         """Whether every peer told what it had followed, so that nothing that users were told can be missing."""
--- a/meadowcross/store/budget.py
+++ b/meadowcross/store/budget.py
@@ -10,6 +10,11 @@
 
 from meadowcross.common.clock import Clock
 
+LEAST_FACTOR = 0.25
+SHRINK_FACTOR = 0.75
+REGROWTH_PER_S = 0.02
+"""Of the rate: refused, a budget gives up a quarter of it at once, and has all of it back after some ten seconds."""
+
 
 class Urgency(IntEnum):
     """What goes first when a budget is short."""
@@ -25,7 +30,8 @@
 
     def __init__(self, clock: Clock, rate: float, burst: float) -> None:
         self._clock = clock
-        self._rate = rate
+        self._full_rate = rate
+        self._factor = 1.0
         self._burst = max(burst, 1.0)
         self._level = self._burst
         self._at = clock.seconds()
@@ -35,9 +41,16 @@
 
     def _refill(self) -> None:
         now = self._clock.seconds()
-        self._level = min(self._burst, self._level + max(0.0, now - self._at) * self._rate)
+        passed = max(0.0, now - self._at)
+        self._factor = min(1.0, self._factor + passed * REGROWTH_PER_S)
+        self._level = min(self._burst, self._level + passed * self.rate)
         self._at = now
 
+    @property
+    def rate(self) -> float:
+        """Units a second that are given out now."""
+        return self._full_rate * self._factor
+
     def try_take(self, amount: float = 1.0) -> bool:
         """Take now or not at all; overdraws for an amount above the burst."""
         with self._lock:
@@ -53,6 +66,12 @@
             self._refill()
             self._level = min(self._level, 0.0)
 
+    def shrink(self) -> None:
+        """The same of a limit that other nodes use too: less of it is ours for a while."""
+        self.empty_out()
+        with self._lock:
+            self._factor = max(LEAST_FACTOR, self._factor * SHRINK_FACTOR)
+
     def take(self, amount: float, urgency: Urgency) -> Deferred[None]:
         ready: Deferred[None] = Deferred()
         ahead = any(self._waiting[u] for u in Urgency if u <= urgency)
@@ -72,7 +91,7 @@
     def _arm(self) -> None:
         if not self._timer_set:
             self._timer_set = True
-            self._clock.callLater(1.0 / self._rate, self._serve)
+            self._clock.callLater(1.0 / self.rate, self._serve)
 
     def _serve(self) -> None:
         self._timer_set = False
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -16,13 +16,13 @@
 from meadowcross.common.types import Address, HoldId, Mark, Seconds
 from meadowcross.store import messages as m
 from meadowcross.store.budget import Budget, Urgency
+from meadowcross.store.traffic import Traffic
 
 log = logger("store")
 
 CALL_S: Seconds = 2.0
 READ_AT_ONCE = 16
-SHARE_OF_LEADER = 0.6
-SHARE_OF_OTHERS = 0.2
+DEFAULT_SHARE = 0.2
 
 
 class Unavailable(Exception):
@@ -63,7 +63,10 @@
 
 
 class StoreClient:
-    def __init__(self, clock: Clock, http: HttpClient, address: Address, facts: StateFacts) -> None:
+    def __init__(
+        self, clock: Clock, http: HttpClient, address: Address, facts: StateFacts, share: float = DEFAULT_SHARE
+    ) -> None:
+        """`share` of the service's limits is this client's."""
         self._clock = clock
         self._http = http
         self._address = address
@@ -77,10 +80,11 @@
         self._era = 0
         self.max_value = int(facts.value_kb * 1024)
         self.failing_since: float | None = None
-        self.set_share(SHARE_OF_OTHERS)
+        self._traffic = Traffic(clock)
+        self.set_share(share)
 
     def set_share(self, share: float) -> None:
-        """Three nodes share the limits: the leader gets the larger part."""
+        """The nodes share the service's limits (`store/shares.py`); a budget begins anew with each share."""
         self._requests = Budget(self._clock, self._facts.rps * share, self._facts.rps * share)
         self._writes = Budget(self._clock, self._facts.write_rps * share, self._facts.write_rps * share)
 
@@ -98,6 +102,7 @@
         spare: bool = False,
     ) -> Reply:
         await self._requests.take(1.0, urgency)
+        self._traffic.count(method, path, urgency)
         try:
             reply = await self._http.call(method, self._address, path, body, timeout)
         except NotSent as error:
@@ -108,7 +113,9 @@
                 self._failed()
             raise Unknown(str(error)) from error
         if reply.status == 429:
-            self._requests.empty_out()
+            self._requests.shrink()
+            if method == "POST" and path == "/multi":
+                self._writes.shrink()
             raise Unavailable("over the service's rate")
         if reply.status >= 500:
             self._failed()
--- a/meadowcross/store/commit.py
+++ b/meadowcross/store/commit.py
@@ -23,6 +23,7 @@
 
 MAX_BYTES = 56 * 1024
 LATER_AFTER_S: Seconds = 0.25
+CONFLICTS_AT_ONCE = 2
 
 
 @dataclass(slots=True)
@@ -96,7 +97,7 @@
         return bool(self._urgent) or waited
 
     async def run(self) -> None:
-        failures = 0
+        failures = conflicts = 0
         while not self._stopped:
             if not self._due():
                 self._wake = Deferred()
@@ -104,9 +105,13 @@
                 continue
             self._busy = True
             try:
-                await self._round()
+                conflicts = 0 if await self._round() else conflicts + 1
                 failures = 0
                 self._busy = False
+                if conflicts > CONFLICTS_AT_ONCE:
+                    # Each conflict is followed by a re-read, so units of their own may conflict one after the other.
+                    # One that conflicts for ever would ask the store as fast as the budget lets it.
+                    await pause(self._clock, min(0.02 * 2 ** (conflicts - CONFLICTS_AT_ONCE), 0.5))
             except (Unavailable, Unknown, Refused) as error:
                 failures += 1
                 log.debug("commit waits: %s", error)
@@ -143,10 +148,11 @@
                 self._later_since = None
         return taken, list(conditions.values()), changes
 
-    async def _round(self) -> None:
+    async def _round(self) -> bool:
+        """Store what is due, if anything is; False: a condition did not hold."""
         taken, conditions, changes = self._gather()
         if not taken:
-            return
+            return True
         settled = False
         try:
             urgent = any(flag for _, _, flag in taken.values())
@@ -179,3 +185,4 @@
         if settled and not self._stopped:
             for _, built, _ in taken.values():
                 built.done(mark)
+        return settled
--- /dev/null
+++ b/meadowcross/store/shares.py
@@ -0,0 +1,15 @@
+"""How the nodes of a cluster divide the state service's limits among themselves."""
+
+from __future__ import annotations
+
+LEADER_SHARE = 0.6
+REBUILD_SHARE = 0.8
+"""Of a leader while it writes lost data back."""
+
+
+def follower_share(nodes: int) -> float:
+    """What each of the others may use, so that all nodes together promise the limits once.
+
+    `nodes` counts the whole cluster. With fixed shares of 20 % five nodes promised 140 % of the limits.
+    """
+    return (1.0 - LEADER_SHARE) / max(1, nodes - 1)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,10 +6,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from lab.pace import WINDOW, Pace
 from lab.standins import StateService
 from meadowcross.store.budget import Budget, Urgency
+from meadowcross.store.client import Unavailable
 from meadowcross.store.commit import Built, Committer
 from meadowcross.store.messages import Condition, Put, raw
+from meadowcross.store.shares import LEADER_SHARE, follower_share
+from meadowcross.store.traffic import cause_of
 
 
 def test_urgent_callers_go_first_and_renewals_never_wait():
@@ -96,3 +100,72 @@
     state.transact({"if": [], "writes": [{"write": "lead", "data": 1, "tether": hold}]})
     now[0] = 1.5
     assert state.handle("GET", "/kv/lead", {}, b"")[0] == 404
+
+
+@pytest.mark.parametrize("nodes", [2, 3, 5, 7])
+def test_all_nodes_together_promise_the_limits_once(nodes):
+    assert LEADER_SHARE + (nodes - 1) * follower_share(nodes) == pytest.approx(1.0)
+
+
+def test_a_refusal_shrinks_a_budget_for_a_while():
+    clock = Clock()
+    budget = Budget(clock, 10.0, 10.0)
+    budget.shrink()
+    assert budget.rate == pytest.approx(7.5) and not budget.try_take()
+    for _ in range(20):
+        budget.shrink()
+    assert budget.rate == pytest.approx(2.5), "never less than a quarter"
+    clock.advance(10.0)
+    budget.try_take()
+    assert 2.5 < budget.rate < 10.0
+    clock.advance(40.0)
+    budget.try_take()
+    assert budget.rate == pytest.approx(10.0)
+
+
+def test_a_refused_transaction_shrinks_both_budgets(world):
+    world.net.hosts["state:1"] = lambda *request: (429, {})
+    before = world.store._requests.rate, world.store._writes.rate
+    outcome = world.run(world.store.transact([], [Put("k", raw(1))], Urgency.PLACEMENT))
+    assert outcome.check(Unavailable)
+    assert world.store._requests.rate < before[0] and world.store._writes.rate < before[1]
+
+
+def test_a_unit_that_conflicts_for_ever_does_not_spend_the_budget(world):
+    commit, _ = committer(world)
+    commit.add("k", lambda: Built([Condition("other", 99)], [Put("k", raw(1))], lambda mark: None), True)
+    before = len(world.net.calls)
+    world.pass_time(10.0)
+    assert 5 < len(world.net.calls) - before < 60, "it goes on, at a pace of its own"
+
+
+CAUSES = [
+    ("GET", "/kv/j/wk-000001", "GET kv j user"),
+    ("GET", "/kv?under=t/&limit=1000", "GET kv t user"),
+    ("GET", "/watch?under=&since=4&waitMs=5000", "GET watch all user"),
+    ("POST", "/multi", "POST multi - user"),
+    ("POST", "/holds/7/renew", "POST holds - user"),
+]
+
+
+@pytest.mark.parametrize(("method", "path", "cause"), CAUSES)
+def test_requests_are_counted_by_cause(method, path, cause):
+    assert str(cause_of(method, path, Urgency.USER)) == cause
+
+
+RUNAWAY = [
+    # requests and writes each second, of 100 allowed, and whether that is a loop without end
+    ("at its budget's rate, nothing written", 95, 0, True),
+    ("at its budget's rate, and it writes", 95, 10, False),
+    ("half of it", 50, 0, False),
+]
+
+
+@pytest.mark.parametrize(("asked", "writes", "found"), [row[1:] for row in RUNAWAY], ids=[row[0] for row in RUNAWAY])
+def test_a_node_that_asks_without_end_is_found(asked, writes, found):
+    pace, told = Pace(), []
+    for _ in range(WINDOW):
+        for number in range(asked):
+            pace.asked("n0", number < writes)
+        told += pace.look({"n0": 100.0})
+    assert told == (["n0"] if found else [])
