An unhandled error of a Deferred fails its test; a closed election stops no term

Cause: the suite printed `cannot reuse already awaited coroutine` and passed. Tests that play a whole cluster drop it in the middle, so its coroutines are closed by the collector in any order; the election's last clause then stopped the term, which rang the group commit's coroutine, closed already (seen with late-copies and lonely-leader in one process). Change: the election ends its term after an error or when it stands down, not when it is closed. A fixture collects garbage after each test and fails the one during which Twisted logged such an error. Measured: the election's test fails without the change; the fixture's own test leaves an error and finds it.

--- a/meadowcross/leadership/election.py
+++ b/meadowcross/leadership/election.py
@@ -245,28 +245,38 @@
         else:
             Deferred.fromCoroutine(self._begin_era(mark))
         try:
-            while not self._stood_down:
-                await self._until_stood_down(self._hold_s / 4)
-                if not self._stood_down:
-                    # Not awaited: a busy leader that read answers late once sent its next
-                    # renewal too late, and lost a hold that every renewal had reached.
-                    Deferred.fromCoroutine(self._renew(self._hold))
-        finally:
-            hold, self._hold = self._hold, None
-            token, self.token = self.token, None
-            term, self._term = self._term, None
-            self._leading = False
-            if term is not None:
-                term.stop()
-                self._end_term()
-            log.info("no longer leads with token %d", token or mark)
-        # Not in the clause above: what is awaited there when this coroutine is closed, as at a
-        # process's end, is refused by the interpreter. After an error the next round ends it.
+            await self._renew_until_stood_down(self._hold)
+        except Exception:
+            # The next round ends the hold.
+            self._end_lead(mark)
+            raise
+        # No clause for whatever happens: closed with the process, this coroutine would stop a term whose own ones
+        # are closed already, and those can't be resumed.
+        hold = self._hold
+        self._end_lead(mark)
         try:
             await self._store.end_hold(hold)
         except (Unavailable, Unknown, Refused):
             log.debug("hold %d left to end by itself", hold)
 
+    async def _renew_until_stood_down(self, hold: HoldId) -> None:
+        while not self._stood_down:
+            await self._until_stood_down(self._hold_s / 4)
+            if not self._stood_down:
+                # Not awaited: a busy leader that read answers late once sent its next
+                # renewal too late, and lost a hold that every renewal had reached.
+                Deferred.fromCoroutine(self._renew(hold))
+
+    def _end_lead(self, mark: Mark) -> None:
+        self._hold = None
+        token, self.token = self.token, None
+        term, self._term = self._term, None
+        self._leading = False
+        if term is not None:
+            term.stop()
+            self._end_term()
+        log.info("no longer leads with token %d", token or mark)
+
     def _until_stood_down(self, at_most: Seconds) -> Deferred[None]:
         over: Deferred[None] = Deferred()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import os
 import sys
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 import msgspec
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
+from twisted.logger import globalLogPublisher
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
@@ -25,6 +27,7 @@
 from meadowcross.leadership.term import Term
 from meadowcross.store.client import StoreClient
 from meadowcross.workers.messages import decode_report
+from tests.unhandled import UnhandledErrors
 
 pytest_plugins = ["tests.known_red"]
 SETTINGS = {
@@ -162,3 +165,19 @@
 def pytest_unconfigure() -> None:
     """Coroutines that still wait when the interpreter ends have nothing left to tell."""
     logging.disable()
+
+
+@pytest.fixture(autouse=True)
+def unhandled_errors() -> Iterator[UnhandledErrors]:
+    """Fails the test that leaves an error of a Deferred which nobody handles.
+
+    Twisted logs such an error only when the Deferred is collected, so garbage is collected before the test is over.
+    """
+    errors = UnhandledErrors()
+    globalLogPublisher.addObserver(errors)
+    try:
+        yield errors
+        gc.collect()
+    finally:
+        globalLogPublisher.removeObserver(errors)
+    assert not errors.found, f"{len(errors.found)} errors of Deferreds that nobody handles: {errors.found[0]}"
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -104,3 +104,14 @@
     world.net.call = late
     world.pass_time(20.0)
     assert election.token is not None and record.stopped == 0
+
+
+def test_an_election_closed_with_its_process_stops_no_term(world):
+    """What the term's own coroutines wait for must not be called any more: they may be closed already."""
+    world.election = Election(world.clock, world.store, NodeName("n0"), "one", 3.0, world.begin, lambda: None)
+    run = world.election.run()
+    Deferred.fromCoroutine(run)
+    world.pass_time(0.5)
+    assert world.term is not None and world.term.loaded
+    run.close()
+    assert not world.term.stopped
