Relays: other controllers hold workers' sessions for the leader

Change: the leader grants, each second over the controllers' link, the right to answer reports with its token. A relay answers a report that repeats the last whole one, to which the leader had nothing to say; any other goes whole to the leader. Repeats go up as renewals, which renew what is heard and prove nothing. Commands go through the relay that has the session, with their three outcomes. Rendezvous hashing with bounded loads assigns workers (`relay/assignment.py`). A higher token or a grant that ran out stops a relay at once. `relays` (XML): `auto` (above 0.4 workers a socket), `always`, `never`. Followers may burst as before, a fifth of a second's worth, whatever their share: at five nodes submissions queued.

--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -192,7 +192,7 @@
     state: State = field(default_factory=State)
     cloud: Cloud = field(default_factory=Cloud)
     workers: Workers = field(default_factory=Workers)
-    operator: dict[str, float] = {}
+    operator: dict[str, float | str] = {}
     clocks_s: list[Annotated[float, Meta(ge=-3600, le=3600)]] = []
     """By how much the nodes' clocks are ahead, in their order; 0 for those that are left out."""
     faults: list[Fault] = []
--- a/lab/world.py
+++ b/lab/world.py
@@ -162,7 +162,7 @@
     def boot(self, name: str) -> None:
         reactor = self.simulation.boot(self.simulation.hosts[name])
         reactor.ahead_s = dict(zip(self.names, self.scenario.clocks_s, strict=False)).get(name, 0.0)
-        node = self.nodes[name] = Node(reactor, self.settings(name), Operator(**self.scenario.operator))  # type: ignore[arg-type]
+        node = self.nodes[name] = Node(reactor, self.settings(name), msgspec.convert(self.scenario.operator, Operator))
         node.start()
 
     def leader(self) -> str | None:
--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -14,12 +14,16 @@
 from meadowcross.common import logging as node_logging
 from meadowcross.common.settings import (
     DEFAULT_OPERATOR_FILE,
+    SOCKETS_ALONE,
+    SOCKETS_RELAYED,
     Operator,
+    RelayMode,
     Settings,
     SettingsError,
     digest,
     load_operator,
     load_settings,
+    workers_served,
 )
 
 if TYPE_CHECKING:
@@ -104,6 +108,9 @@
         from meadowcross.rebuild.era import Eras
         from meadowcross.rebuild.gather import Rebuild, part_of
         from meadowcross.rebuild.messages import LEADER_KEY, PicturePart, PictureWanted, Stage
+        from meadowcross.relay.pool import RelayPool
+        from meadowcross.relay.relay import Relay
+        from meadowcross.relay.service import RelayService
         from meadowcross.replica.follower import Follower
         from meadowcross.replica.hints import Hearer, Teller
         from meadowcross.replica.messages import Handed, Hints, HintsWanted
@@ -144,6 +151,16 @@
             from meadowcross.leadership.term import Term
 
             self.store.set_share(LEADER_SHARE)
+            self.relay.token_seen(token)
+            pool = (
+                RelayPool(
+                    reactor, node, token, self.link, http, operator.relays, workers_served(settings, SOCKETS_ALONE),
+                    {NodeName(peer.host_name): peer.zone for peer in settings.peers}, facts.workers.report_s,
+                    self.link.fresh_beats,
+                )
+                if operator.relays is not RelayMode.NEVER
+                else None
+            )  # fmt: skip
             term = Term(
                 reactor,
                 settings,
@@ -160,8 +177,11 @@
                 self.rebuild,
                 not (self.election.seasoned or any(one.seasoned for one in self.link.fresh_beats())),
                 cancels.is_told,
+                pool,
             )
             self.term = term
+            if pool is not None:
+                pool.grant()
             self._teller = Teller(node, token, same) if follower is not None else None
             term.start()
             return term
@@ -206,13 +226,14 @@
             followed = follower.followed() if follower is not None else Mark(0)
             return Beat(
                 node, self.store.answering(), self.election.token, visitors.count(), life, warm, self.link.all_lost(),
-                era, eras.is_lost(), eras.old, self.election.seasoned, eras.highest, followed,
+                era, eras.is_lost(), eras.old, self.election.seasoned, eras.highest, followed, relay_room,
             )  # fmt: skip
 
         def on_beat(beat: Beat) -> None:
             if self.standby is not None:
                 self.standby.heard(beat)
             eras.token_seen(max(beat.highest, beat.leads or Token(0)))
+            self.relay.token_seen(beat.leads or Token(0))
             if beat.era_lost and beat.era is not None:
                 eras.told_lost(beat.era, beat.node, beat.era_lost_before)
             own = self.election.token
@@ -276,6 +297,7 @@
             return ask
 
         visitors = Visitors(reactor, heard_window(facts.workers.report_s))
+        relay_room = workers_served(settings, SOCKETS_RELAYED) if operator.relays is not RelayMode.NEVER else None
 
         def turn() -> float:
             return self.standby.turn() if self.standby is not None else 0.0
@@ -316,6 +338,7 @@
 
         cancels = Cancels(reactor, current_term, known_leader, lambda *told: self.link.ask_cancels(*told))
         hearer = Hearer(reactor, same, lambda leader: self.link.tell(HintsWanted(node), leader))
+        self.relay = Relay(reactor, node, lambda: self.link, http, eras.token_seen)
         self.link = PeerLink(
             reactor,
             settings.peers,
@@ -328,6 +351,7 @@
             be_handed,
             picture_part,
             cancels.heard,
+            RelayService(self.relay, current_term),
         )
         self.audit = Audit(reactor, self.store, eras, follower, our_audit) if follower is not None else None
         self.rebuild = Rebuild(
@@ -363,7 +387,7 @@
             ),
         )  # fmt: skip
         api.routes(self.router)
-        WorkerApi(take_report, leader_name, visitors, eras.token_seen).routes(self.router)
+        WorkerApi(take_report, leader_name, visitors, eras.token_seen, self.relay).routes(self.router)
 
     def _prepare(self) -> None:
         """What only a leader needs, loaded while there is nothing to hurry for: users wait for a start, and it
@@ -398,6 +422,11 @@
         if hints is not None:
             self.link.tell(teller.next(hints))
 
+    def _grant(self) -> None:
+        """While this node leads: who may answer workers for it."""
+        if self.term is not None and not self.term.stopped and self.term.relays is not None:
+            self.term.relays.grant()
+
     def _write_snapshots(self, follower: Follower) -> None:
         from twisted.internet.defer import Deferred
 
@@ -422,6 +451,7 @@
         from twisted.internet.task import LoopingCall
 
         from meadowcross.common.http import api_factory
+        from meadowcross.leadership.peerlink import BEAT_S
         from meadowcross.replica.hints import TELL_S
 
         host, _, port = self._settings.api_addr.rpartition(":")
@@ -438,4 +468,7 @@
             telling = LoopingCall(self._tell)
             telling.clock = self._reactor
             telling.start(TELL_S, now=False)
+        granting = LoopingCall(self._grant)
+        granting.clock = self._reactor
+        granting.start(BEAT_S, now=False)
         Deferred.fromCoroutine(self.election.run())
--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -6,6 +6,7 @@
 import os
 import tomllib
 from collections.abc import Collection
+from enum import Enum
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -110,7 +111,9 @@
 
 def digest(settings: Settings, operator: Operator) -> str:
     """Tells whether another node decides by the same facts, settings and stored formats."""
-    said = msgspec.json.encode([STORED_FORMAT, settings.facts, operator])
+    # Without the relays, which change nothing of that: nodes of the version before don't know them.
+    decides = {name: value for name, value in msgspec.structs.asdict(operator).items() if name != "relays"}
+    said = msgspec.json.encode([STORED_FORMAT, settings.facts, decides])
     return hashlib.sha256(said).hexdigest()[:16]
 
 
@@ -124,6 +127,27 @@
         raise SettingsError(f"{path}: {error}") from error
 
 
+class RelayMode(Enum):
+    """Whether other controllers hold workers' sessions for the leader."""
+
+    AUTO = "auto"
+    """As soon as there are more workers than the leader's own sockets serve well."""
+    ALWAYS = "always"
+    NEVER = "never"
+
+
+SOCKETS_ALONE = 0.4
+SOCKETS_RELAYED = 0.45
+"""Of a node's sockets, the workers that it serves: each takes one for its reports and one for commands to it."""
+UNBOUNDED_WORKERS = 1_000_000
+
+
+def workers_served(settings: Settings, share: float) -> int:
+    """How many workers a node's sockets allow."""
+    limits = settings.facts.machine_limits
+    return int(share * limits.fd_limit) if limits is not None else UNBOUNDED_WORKERS
+
+
 class Bound(NamedTuple):
     """Unit and bounds of one operator setting, for messages and documentation."""
 
@@ -163,6 +187,7 @@
     snapshot_keep_h: float = 48.0
     snapshot_directory: str = ""
     """Absolute; empty: no snapshots."""
+    relays: RelayMode = RelayMode.AUTO
 
 
 BOUNDS = {
@@ -234,12 +259,18 @@
     root = read_xml(path, "meadowcross")
     values: dict[str, float] = {}
     directory = ""
-    for name, text in plain_values(path, root, {*BOUNDS, "snapshot_directory"}).items():
+    relays = RelayMode.AUTO
+    for name, text in plain_values(path, root, {*BOUNDS, "snapshot_directory", "relays"}).items():
         if name == "snapshot_directory":
             if not os.path.isabs(text):
                 raise SettingsError(f"{path}: element <snapshot-directory>: expected an absolute path")
             directory = text
             continue
+        if name == "relays":
+            if text not in {mode.value for mode in RelayMode}:
+                raise SettingsError(f"{path}: element <relays>: expected auto, always or never")
+            relays = RelayMode(text)
+            continue
         bound = BOUNDS[name]
         tag = name.replace("_", "-")
         expected = f"{bound.unit} {'above' if bound.low_excluded else 'from'} {bound.low:g} to {bound.high:g}"
@@ -251,7 +282,7 @@
         if not fits or (bound.whole and value != int(value)):
             raise SettingsError(f"{path}: element <{tag}>: expected {expected}")
         values[name] = value
-    operator = Operator(**values, snapshot_directory=directory)
+    operator = Operator(**values, snapshot_directory=directory, relays=relays)
     if abs(operator.alpha + operator.beta - 1.0) > 1e-9:
         raise SettingsError(f"{path}: elements <alpha> and <beta>: expected to sum to 1")
     return operator
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -9,6 +9,7 @@
 
 from meadowcross.common.types import JobId, Mark, NodeName, Seconds, Token
 from meadowcross.rebuild.messages import LEADER_KEY, PicturePart, PictureWanted
+from meadowcross.relay import messages as relay
 from meadowcross.replica.messages import Handed, Handover, Hints, HintsWanted
 
 
@@ -44,6 +45,8 @@
     """The highest token it has seen anywhere."""
     followed: Mark = Mark(0)
     """Up to which revision it followed the store, a leader's own picture counted as one more."""
+    relay_room: int | None = None
+    """How many workers it can serve for a leader; None: it can't, as any node of an earlier version."""
 
 
 class ProgressQuestion(Struct, tag="progress?", tag_field="kind"):
@@ -107,7 +110,7 @@
 
 Message = (
     Beat | ProgressQuestion | ProgressAnswer | Forward | Forwarded | CancelsTold | CancelsTaken
-    | Hints | HintsWanted | Handover | Handed | PictureWanted | PicturePart
+    | Hints | HintsWanted | Handover | Handed | PictureWanted | PicturePart | relay.Message
 )  # fmt: skip
 
 __all__ = [
--- a/meadowcross/leadership/peerlink.py
+++ b/meadowcross/leadership/peerlink.py
@@ -7,24 +7,25 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.defer import TimeoutError as DeferredTimeout
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import Factory, ReconnectingClientFactory
 from twisted.internet.task import LoopingCall
 from twisted.protocols.basic import NetstringReceiver
 
 from meadowcross.common.clock import Clock
-from meadowcross.common.http import Answer
+from meadowcross.common.http import Answer, NotSent, Unanswered
 from meadowcross.common.logging import logger
 from meadowcross.common.settings import Peer
 from meadowcross.common.types import JobId, NodeName, Seconds, Token
 from meadowcross.jobs.messages import Progress
 from meadowcross.leadership import messages as m
+from meadowcross.leadership.questions import Questions
 from meadowcross.rebuild.messages import PicturePart, PictureWanted
+from meadowcross.relay import messages as rm
 from meadowcross.replica.messages import Handed, Handover, Hints, HintsWanted
 
 log = logger("leadership")
@@ -35,6 +36,8 @@
 FORWARD_S: Seconds = 1.5
 PICTURE_S: Seconds = 1.0
 MAX_QUESTIONS = 256
+MAX_RELAYED = 1_000
+"""Reports or commands that wait for one peer; more are refused, so that what a slow peer holds up stays bounded."""
 MAX_JOBS = 1_000
 """Of one question, so that its answer fits a netstring."""
 
@@ -43,6 +46,18 @@
 """Answers a peer's user: the operation, the job's id where it is not in the body, the body."""
 
 
+class RelayHandler(Protocol):
+    """What a node does with what leaders and relays say."""
+
+    def take_grant(self, grant: rm.Grant) -> None: ...
+    def resend(self, wanted: rm.ResendWanted) -> None: ...
+    def renewed(self, renewals: rm.Renewals) -> None: ...
+    def held(self, sessions: rm.SessionsHeld) -> None: ...
+    def report_passed(self, passed: rm.ReportPassed) -> rm.ReportAnswered: ...
+    async def commands(self, passed: rm.CommandsPassed) -> rm.CommandsAnswered: ...
+    def peer_lost(self, peer: NodeName) -> None: ...
+
+
 class _Line(NetstringReceiver):
     # A user's body of 64 KiB, escaped as text within JSON.
     MAX_LENGTH = 256 * 1024
@@ -128,7 +143,9 @@
         hand_over: Callable[[int], Awaitable[Handed]] | None = None,
         picture_part: Callable[[PictureWanted], PicturePart] | None = None,
         take_cancels: Callable[[m.CancelsTold], bool] = lambda told: False,
+        relays: RelayHandler | None = None,
     ) -> None:
+        self._relays = relays
         self._clock = clock
         self._peers = peers
         self._own_beat = own_beat
@@ -145,9 +162,10 @@
         self._closed_at: dict[NodeName, float] = {}
         self._lines: dict[NodeName, _Line] = {}
         self._beats: dict[NodeName, tuple[float, m.Beat]] = {}
-        self._questions: dict[int, Deferred[Reply]] = {}
+        self._questions: Questions[m.Message, Reply] = Questions(clock, MAX_QUESTIONS)
+        self._reports: Questions[m.Message, rm.ReportAnswered] = Questions(clock, MAX_RELAYED)
+        self._commands: Questions[m.Message, rm.CommandsAnswered] = Questions(clock, MAX_RELAYED)
         self._asking: dict[JobId, list[Deferred[Progress | None]]] = {}
-        self._number = 0
 
     def start(self, reactor: Any, bind: str) -> None:
         host, _, port = bind.rpartition(":")
@@ -169,6 +187,10 @@
         if self._lines.get(peer) is line:
             del self._lines[peer]
             self._closed_at[peer] = self._clock.seconds()
+            if self._relays is not None:
+                self._relays.peer_lost(peer)
+        for questions in (self._questions, self._reports, self._commands):
+            questions.closed(line)
 
     def unreached(self, peer: NodeName, refused: bool) -> None:
         """A call to a peer failed. Refused soon after its link was closed, it is lost: others hear of it at
@@ -255,10 +277,53 @@
                 line.send(m.CancelsTaken(message.number))
         elif isinstance(message, Handover):
             Deferred.fromCoroutine(self._answer_handover(line, message))
+        elif isinstance(message, rm.ReportAnswered):
+            self._reports.answered(line, message)
+        elif isinstance(message, rm.CommandsAnswered):
+            self._commands.answered(line, message)
+        elif isinstance(message, rm.Message):
+            self._relay_said(line, message)
         else:
-            waiting = self._questions.pop(message.number, None)
-            if waiting is not None:
-                waiting.callback(message)
+            self._questions.answered(line, message)
+
+    def _relay_said(self, line: _Line, message: rm.Message) -> None:
+        relays = self._relays
+        if relays is None:
+            return
+        if isinstance(message, rm.ReportPassed):
+            line.send(relays.report_passed(message))
+        elif isinstance(message, rm.CommandsPassed):
+            Deferred.fromCoroutine(self._send_commands(line, relays, message))
+        elif isinstance(message, rm.Renewals):
+            relays.renewed(message)
+        elif isinstance(message, rm.ResendWanted):
+            relays.resend(message)
+        elif isinstance(message, rm.SessionsHeld):
+            relays.held(message)
+        elif isinstance(message, rm.Grant):
+            relays.take_grant(message)
+
+    async def _send_commands(self, line: _Line, relays: RelayHandler, message: rm.CommandsPassed) -> None:
+        line.send(await relays.commands(message))
+
+    def send_relay(self, message: rm.Grant | rm.Renewals | rm.ResendWanted | rm.SessionsHeld, peer: NodeName) -> bool:
+        """To one peer, at once or not at all: whether there is a line to it."""
+        line = self._lines.get(peer)
+        if line is not None:
+            line.send(message)
+        return line is not None
+
+    async def ask_leader(
+        self, leader: NodeName, make: Callable[[int], rm.ReportPassed], timeout: Seconds
+    ) -> rm.ReportAnswered:
+        """The leader's answer to a worker's report. Raises NotSent and Unanswered."""
+        return await self._reports.ask(self._lines.get(leader), make, timeout)
+
+    async def ask_relay(
+        self, peer: NodeName, make: Callable[[int], rm.CommandsPassed], timeout: Seconds
+    ) -> rm.CommandsAnswered:
+        """What became of commands that a relay was to send. Raises NotSent and Unanswered."""
+        return await self._commands.ask(self._lines.get(peer), make, timeout)
 
     async def _serve_peer(self, line: _Line, message: m.Forward) -> None:
         try:
@@ -269,21 +334,11 @@
         line.send(m.Forwarded(message.number, answer.status, answer.body.decode(), answer.retry_after))
 
     async def _question(self, line: _Line, make: Callable[[int], m.Message], timeout: Seconds) -> Reply | None:
-        """Send a question under a number of its own and wait for its answer."""
-        if len(self._questions) >= MAX_QUESTIONS:
-            return None
-        self._number += 1
-        number = self._number
-        reply: Deferred[Reply] = Deferred()
-        self._questions[number] = reply
-        line.send(make(number))
-        reply.addTimeout(timeout, self._clock)  # type: ignore[arg-type]
+        """Send a question under a number of its own and wait for its answer; None without one."""
         try:
-            return await reply
-        except DeferredTimeout:
+            return await self._questions.ask(line, make, timeout)
+        except (NotSent, Unanswered):
             return None
-        finally:
-            self._questions.pop(number, None)
 
     async def forward(self, operation: str, job: str, body: bytes, to: NodeName | None = None) -> Answer | None:
         """The answer of a peer that the state service answers, or of the one named; None without one in time."""
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -49,6 +49,7 @@
 from meadowcross.rebuild.merge import Merged
 from meadowcross.rebuild.messages import MOST_KNOWN, PROGRESS_KEY, Stage
 from meadowcross.rebuild.writeback import WriteBack
+from meadowcross.relay.pool import RelayPool, direct_post
 from meadowcross.replica.follower import Follower
 from meadowcross.replica.messages import Hints
 from meadowcross.replica.picture import Picture
@@ -108,9 +109,11 @@
         rebuild: Rebuild | None = None,
         cold: bool = False,
         told: Callable[[JobId], bool] = lambda job: False,
+        relays: RelayPool | None = None,
     ) -> None:
         """`cold`: nobody here knows what was before, so only the machines can tell whether the store still does.
-        `told`: whether a peer has said that a job's cancel is stored."""
+        `told`: whether a peer has said that a job's cancel is stored. `relays`: who answers workers for us."""
+        self.relays = relays
         self._cold = cold
         self._told = told
         self._cancelled_before: dict[JobId, bool] = {}
@@ -137,6 +140,8 @@
         self.token = token
         self.book = Book()
         self.roster = Roster(token)
+        if relays is not None:
+            relays.serves(self.roster)
         self.health = Health(lambda name: name in self.roster.machines)
         self._leader_condition = sm.Condition(LEADER_KEY, mark_of(token))
         self._learn(operator)
@@ -144,7 +149,14 @@
         self._wrote = Mark(0)
         self.committer = Committer(reactor, store, self._leader_condition, self._reread, self._written)
         self.sender = Sender(
-            reactor, http, self.roster, token, self._on_direct_report, self._on_unsent, self._may_start
+            reactor,
+            relays.post if relays is not None else direct_post(http),
+            self.roster,
+            token,
+            self._on_direct_report,
+            self._on_unsent,
+            self._may_start,
+            lambda: 1 + (relays.count if relays is not None else 0),
         )
         self.keeper = Keeper(reactor, self.book, self.committer, store.max_changes, self._stored, self._ended)
         self.fleet = FleetManager(reactor, settings, operator, cloud, types, self)
@@ -714,8 +726,8 @@
     def type_named(self, name: str) -> fm.MachineType | None:
         return next((t for t in self._types() if t.name == name), None)
 
-    def on_report(self, report: wm.Report) -> wm.Response | None:
-        """A worker's report; None: we don't lead any more."""
+    def on_report(self, report: wm.Report, via: NodeName | None = None) -> wm.Response | wm.Elsewhere | None:
+        """A worker's report, come to us or whole through a relay (`via`); None: we don't lead any more."""
         if not self.loaded:
             # Renews leases while the picture is being read; proves nothing yet.
             return wm.Response(self.token, self._stops(report)) if report.token <= self.token else None
@@ -723,7 +735,7 @@
             return wm.Response(self.token, [])
         known = self.roster.machines.get(report.machine)
         # A copy that comes late says nothing of whom its machine reaches now.
-        copy = known is not None and report.version <= known.version
+        copy = known is not None and report.version <= max(known.version, known.renewed)
         try:
             newest = self._take(report)
         except HigherToken as error:
@@ -732,8 +744,24 @@
         machine = self.roster.machines[report.machine]
         if not copy:
             machine.reported_at = self.now
+            if self.relays is not None and (other := self.relays.arrived(machine, via)) is not None:
+                return wm.Elsewhere(other)
         return wm.Response(self.token, commands_for(machine, self.book) if newest else [])
 
+    def settled(self, report: wm.Report) -> bool:
+        """Whether the same report again would be answered with no command, and would tell nothing new."""
+        machine = self.roster.machines.get(report.machine)
+        return (
+            machine is not None
+            and report.token == self.token
+            and report.version == machine.version
+            and machine.shown is not None
+            and not machine.strays
+            and not machine.unclaimed
+            and all(task.state is not wm.TaskState.EXITED for task in report.tasks)
+            and all(placement.stop_at is None for placement in machine.placements.values())
+        )
+
     def _on_direct_report(self, report: wm.Report) -> None:
         if self._stopped or report.machine not in self.roster.machines:
             return
@@ -845,6 +873,8 @@
         if placement.stop_at is None or grace < placement.grace:
             placement.stop_at = self.now
             placement.grace = grace
+            # Repeated with each answer to a report, so a relay must not answer the next one by itself.
+            self.roster.machines[placement.machine].shown = None
             self.sender.end(placement)
 
     # Storing
@@ -914,7 +944,7 @@
     def machine_gone(self, name: MachineId) -> None:
         """The cloud's delete of the machine answered 200."""
         machine = self.roster.machines.get(name)
-        heard = machine.heard_at if machine is not None else None
+        heard = machine.last_heard if machine is not None else None
         for placement in self.roster.deleted(name):
             job = self.book.jobs.get(placement.task.job)
             if job is not None:
@@ -924,6 +954,8 @@
                 job.lost_at = self.now
                 self._after_change(job)
         self._cleared(name)
+        if self.relays is not None:
+            self.relays.forget(name)
         self.health.forget_machine(name)
         self.keeper.drop_later(fm.machine_key(name))
         self.kick()
--- a/meadowcross/leadership/view.py
+++ b/meadowcross/leadership/view.py
@@ -65,7 +65,8 @@
 
     def silence(self, machine: Machine) -> Seconds:
         """For how long a machine has said nothing while we listened."""
-        return self._now - max(machine.heard_at or machine.presumed_at or self._woke_at, self._woke_at)
+        heard = machine.last_heard or machine.presumed_at or self._woke_at
+        return self._now - max(heard, self._woke_at, min(machine.excused_until, self._now))
 
     def _heard_since(self) -> Instant:
         """Earlier than this is silence."""
@@ -78,7 +79,8 @@
         return self._window
 
     def silent(self, machine: Machine) -> bool:
-        return machine.heard_at is None or machine.heard_at < self._heard_since()
+        heard = machine.last_heard
+        return heard is None or heard < self._heard_since()
 
     def reach(self, peers: int | None) -> Reach:
         """How many of the machines in use reported to us lately; `peers` as in Reach."""
@@ -98,8 +100,8 @@
             and machine.type is not None
             and machine.taken_at is None
             and machine.deaf_since is None
-            and machine.heard_at is not None
-            and machine.heard_at >= heard_since
+            and (heard := machine.last_heard) is not None
+            and heard >= heard_since
             # What only answers renews no lease, as no report of it arrives: once tasks were begun over and over on such
             # machines. Who leads anew waits for a report as long as for any other.
             and (machine.reported_at or machine.known_at) >= heard_since
@@ -119,8 +121,8 @@
             not (machine.confirmed and machine.stored)
             and machine.taken_at is None
             and not machine.draining
-            and machine.heard_at is not None
-            and machine.heard_at >= heard_since
+            and (heard := machine.last_heard) is not None
+            and heard >= heard_since
         )
 
     def offers(self) -> list[Offer]:
--- /dev/null
+++ b/meadowcross/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Relays: controllers that hold workers' sessions for the leader, which alone decides."""
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -16,6 +16,7 @@
 from meadowcross.common.types import Address, HoldId, Mark, Seconds
 from meadowcross.store import messages as m
 from meadowcross.store.budget import Budget, Urgency
+from meadowcross.store.shares import LEAST_BURST_SHARE
 from meadowcross.store.traffic import Traffic
 
 log = logger("store")
@@ -85,8 +86,9 @@
 
     def set_share(self, share: float) -> None:
         """The nodes share the service's limits (`store/shares.py`); a budget begins anew with each share."""
-        self._requests = Budget(self._clock, self._facts.rps * share, self._facts.rps * share)
-        self._writes = Budget(self._clock, self._facts.write_rps * share, self._facts.write_rps * share)
+        burst = max(share, LEAST_BURST_SHARE)
+        self._requests = Budget(self._clock, self._facts.rps * share, self._facts.rps * burst)
+        self._writes = Budget(self._clock, self._facts.write_rps * share, self._facts.write_rps * burst)
 
     def answering(self) -> bool:
         """Whether the last call was answered properly."""
--- a/meadowcross/store/shares.py
+++ b/meadowcross/store/shares.py
@@ -5,6 +5,9 @@
 LEADER_SHARE = 0.6
 REBUILD_SHARE = 0.8
 """Of a leader while it writes lost data back."""
+LEAST_BURST_SHARE = 0.2
+"""Of a second's worth: what a node may use at once, however small its share. Users' submissions come in bursts, which
+queued for seconds at five nodes; where all burst at once, refusals shrink the budgets."""
 
 
 def follower_share(nodes: int) -> float:
--- a/meadowcross/workers/commands.py
+++ b/meadowcross/workers/commands.py
@@ -3,13 +3,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from twisted.internet.defer import Deferred
 
 from meadowcross.common.clock import Clock
-from meadowcross.common.http import HttpClient, NotSent, Unanswered
+from meadowcross.common.http import NotSent, Reply, Unanswered
 from meadowcross.common.logging import logger
 from meadowcross.common.types import Instant, MachineId, Seconds, TaskId, Token
 from meadowcross.jobs.book import Book, Phase, Placement
@@ -48,21 +48,28 @@
     return name.number in job.stored_done or job.cancelled is not None or not job.done[name.number]
 
 
+Post = Callable[[Machine, bytes], Awaitable[Reply]]
+"""Sends commands to a worker. Raises NotSent where they were certainly not sent, else Unanswered."""
+
+
 class Sender:
     """Queues starts and stops per machine and sends them in batches."""
 
     def __init__(
         self,
         clock: Clock,
-        http: HttpClient,
+        post: Post,
         roster: Roster,
         token: Token,
         on_report: Callable[[m.Report], None],
         on_unsent: Callable[[Placement], None],
         may_start: Callable[[Placement], bool],
+        greeters: Callable[[], int] = lambda: 1,
     ) -> None:
+        """`greeters`: how many nodes send greetings, so many times as many go at once."""
+        self._greeters = greeters
         self._clock = clock
-        self._http = http
+        self._post = post
         self._roster = roster
         self._token = token
         self._on_report = on_report
@@ -98,7 +105,7 @@
     def _greet_some(self) -> None:
         self._greet_set = False
         sent = 0
-        while self._to_greet and sent < GREETED_AT_ONCE and not self._stopped:
+        while self._to_greet and sent < GREETED_AT_ONCE * self._greeters() and not self._stopped:
             name = next(iter(self._to_greet))
             asked = self._to_greet.pop(name)
             machine = self._roster.machines.get(name)
@@ -171,7 +178,7 @@
         self._roster.starts_sent(machine, session, sent)
         body = m.encode(m.Direct(self._token, session, commands))
         try:
-            reply = await self._http.call("POST", machine.addr, "/commands", body, DIRECT_S)
+            reply = await self._post(machine, body)
         except NotSent as error:
             log.debug("%s not reached: %s", machine.id, error)
             machine.deaf_since = machine.deaf_since or Instant(self._clock.seconds())
--- a/meadowcross/workers/roster.py
+++ b/meadowcross/workers/roster.py
@@ -78,7 +78,13 @@
         self.confirmed = False
         self.heard_at: Instant | None = None
         self.reported_at: Instant | None = None
-        """When it last reported to us by itself, which is what renews its lease."""
+        """When it last reported by itself, to us or to a relay of ours, which is what renews its lease."""
+        self.renewed = ReportVersion(0, 0)
+        self.renewed_at: Instant | None = None
+        """The newest report that a relay answered by itself, and when we heard of it. It renews what is heard, and
+        proves nothing: what a machine has is told by whole reports alone."""
+        self.excused_until = Instant(0.0)
+        """Its relay is gone: it is given until then to come to another node before its silence counts."""
         self.silent_until: Instant | None = None
         """When it was last heard again after a silence: what ran meanwhile can't be timed."""
         self.presumed_at: Instant | None = None
@@ -118,6 +124,13 @@
     def up(self) -> bool:
         return self.heard_at is not None
 
+    @property
+    def last_heard(self) -> Instant | None:
+        """When it was last heard, by a whole report, an answer, or a relay's word."""
+        if self.heard_at is None or self.renewed_at is None:
+            return self.heard_at
+        return max(self.heard_at, self.renewed_at)
+
     def holds(self, spec: JobSpec, sign: int) -> None:
         self.shown = None
         self.changes += 1
@@ -214,6 +227,19 @@
             for start in starts:
                 machine.open_starts.pop(start, None)
 
+    def renew(self, machine: Machine, report: ReportVersion, whole: ReportVersion, now: Instant) -> bool:
+        """A relay answered a report that repeats the whole one. False: the next one is wanted whole, as that is not
+        the newest that we know, or as it must be looked at again."""
+        with self._lock:
+            if report <= max(machine.version, machine.renewed):
+                # Late, or told twice.
+                return True
+            if report.session != machine.version.session:
+                return False
+            machine.renewed = report
+            machine.renewed_at = machine.reported_at = now
+            return machine.confirmed and whole == machine.version and machine.shown is not None
+
     def apply(self, machine: Machine, report: m.Report, now: Instant) -> list[Outcome] | None:
         """Take in a report; None where it is not the newest or proves nothing to us."""
         with self._lock:
@@ -240,7 +266,9 @@
                 # Most reports of a large fleet only renew the lease.
                 return []
             outcomes = self._facts(machine, report, now)
-            machine.shown = None if outcomes else report.tasks
+            # What began to run or waits is noted; only what ended has still to be settled.
+            settled = all(outcome.change in (Change.RUNS, Change.WAITS) for outcome in outcomes)
+            machine.shown = report.tasks if settled else None
             return outcomes
 
     def _facts(self, machine: Machine, report: m.Report, now: Instant) -> list[Outcome]:
--- a/meadowcross/workers/visitors.py
+++ b/meadowcross/workers/visitors.py
@@ -20,9 +20,12 @@
         self._clock = clock
         self._window = window
         self._came: dict[MachineId, Instant] = {}
+        self._relayed: dict[MachineId, Instant] = {}
+        """Of those, the ones that report here as the leader lets us answer them; that they come tells nothing new."""
         self._last: dict[MachineId, tuple[Instant, ReportVersion]] = {}
 
-    def came(self, machine: MachineId, version: ReportVersion) -> None:
+    def came(self, machine: MachineId, version: ReportVersion, relayed: bool = False) -> None:
+        """A report came; `relayed`: it was taken for the leader, who lets us."""
         now = Instant(self._clock.seconds())
         last = self._last.pop(machine, None)
         newest = last is None or version > last[1]
@@ -32,6 +35,9 @@
         if newest:
             self._came.pop(machine, None)
             self._came[machine] = now
+            self._relayed.pop(machine, None)
+            if relayed:
+                self._relayed[machine] = now
 
     def _forget(self, now: Instant) -> None:
         while self._last:
@@ -41,8 +47,8 @@
             del self._last[machine]
 
     def since(self, at: Instant) -> int:
-        """How many came since then, of those within the window."""
-        return sum(1 for came in self._came.values() if came >= at)
+        """How many came since then, of those within the window, that no relay's session explains."""
+        return sum(1 for machine, came in self._came.items() if came >= at and machine not in self._relayed)
 
     def count(self) -> int:
         oldest = self._clock.seconds() - self._window
@@ -51,4 +57,5 @@
             if at >= oldest:
                 break
             del self._came[machine]
+            self._relayed.pop(machine, None)
         return len(self._came)
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -236,7 +236,7 @@
     for name in ("wk-000001", "wk-000002", "wk-000001"):
         link.ask_progress(NodeName("n1"), name).addCallback(answers.append)
     world.pass_time(0.1)
-    assert answers == [(3, 2, (1.0, 2.0, 3.0)), (3, 2, (1.0, 2.0, 3.0)), None] and link._number == 3
+    assert answers == [(3, 2, (1.0, 2.0, 3.0)), (3, 2, (1.0, 2.0, 3.0)), None] and link._questions._number == 3
     # A peer that has fallen silent is asked no more.
     world.clock.advance(10.0)
     assert world.run(link.forward("query", "wk-000001", b"")) is None
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,435 @@
+"""Relays: what they answer by themselves, what they pass on, when they stop, and what the leader takes from them."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from msgspec import Raw
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from meadowcross.common.http import NotSent, Reply, Unanswered
+from meadowcross.common.settings import RelayMode
+from meadowcross.common.types import Instant, MachineId, MachineKind, NodeName, ReportVersion, Token
+from meadowcross.leadership.questions import Questions
+from meadowcross.relay import messages as m
+from meadowcross.relay.assignment import Assignment, RelayRoom
+from meadowcross.relay.pool import GRANT_S, RelayPool
+from meadowcross.relay.relay import PASS_S, Relay
+from meadowcross.workers import messages as wm
+from meadowcross.workers.roster import Machine, Roster
+
+LEADER, TOKEN = NodeName("n0"), Token(7)
+FETCHING = wm.TaskReport("wk-000001/0", 1, wm.TaskState.FETCHING)
+RUNNING = wm.TaskReport("wk-000001/0", 1, wm.TaskState.RUNNING)
+
+
+def report(seq, tasks=(RUNNING,), token=TOKEN, session=1, machine="i-000001", notice_s=None):
+    return wm.Report(machine, "10.0.0.1:9000", "small", "east", True, session, seq, token, notice_s, list(tasks))
+
+
+class LeaderLink:
+    """The link to a leader that answers at once, or not."""
+
+    def __init__(self):
+        self.asked: list[m.ReportPassed] = []
+        self.sent: list = []
+        self.settled = True
+        self.status = 200
+        self.failure: Exception | None = None
+
+    def send_relay(self, message, peer):
+        self.sent.append(message)
+        return True
+
+    async def ask_leader(self, leader, make, timeout):
+        assert timeout == PASS_S < 4.0, "a worker waits 4 s"
+        self.asked.append(make(len(self.asked)))
+        if self.failure is not None:
+            raise self.failure
+        return m.ReportAnswered(0, self.status, Raw(b'{"crook":7,"calls":[]}'), self.settled)
+
+
+class Workers:
+    """Stands for workers' addresses; `outcome` is what becomes of commands."""
+
+    def __init__(self):
+        self.outcome: Reply | Exception = Reply(200, b'{"stall":"i-000001"}')
+        self.called = 0
+
+    async def call(self, method, address, path, body=None, timeout=2.0):
+        self.called += 1
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        return self.outcome
+
+
+class Node:
+    def __init__(self):
+        self.clock, self.link, self.workers = Clock(), LeaderLink(), Workers()
+        self.clock.advance(1000.0)
+        self.higher: list[int] = []
+        self.relay = Relay(self.clock, NodeName("n1"), lambda: self.link, self.workers, self.higher.append)
+
+    def granted(self, token=TOKEN):
+        self.relay.take_grant(m.Grant(LEADER, token, GRANT_S))
+        return self
+
+    def takes(self, one):
+        """The answer's status, or None where the worker is turned away."""
+        answer = self.relay.answer(one)
+        if answer is None:
+            box = []
+            Deferred.fromCoroutine(self.relay.pass_on(one, wm.encode(one))).addCallback(box.append)
+            answer = box[0]
+        return answer.status if answer is not None else None
+
+
+PASSED = [
+    # after one whole report with a running task, is this one passed to the leader?
+    ("the same again", report(2), True, False),
+    ("a task more", report(2, [RUNNING, FETCHING]), True, True),
+    ("a task gone", report(2, []), True, True),
+    ("a notice", report(2, notice_s=20.0), True, True),
+    ("another session", report(2, session=2), True, True),
+    ("a copy of the first, come late", report(1), True, True),
+    ("the same, but the leader has more to say", report(2), False, True),
+]
+
+
+@pytest.mark.parametrize(("second", "settled", "passed"), [row[1:] for row in PASSED], ids=[row[0] for row in PASSED])
+def test_only_a_report_that_says_nothing_new_is_answered_here(second, settled, passed):
+    node = Node().granted()
+    node.link.settled = settled
+    assert node.takes(report(1)) == 200 and len(node.link.asked) == 1
+    assert node.takes(second) == 200
+    assert (len(node.link.asked) == 2) is passed
+    node.clock.advance(1.0)
+    renewed = [one for message in node.link.sent if isinstance(message, m.Renewals) for one in message.reports]
+    assert renewed == ([] if passed else [m.Renewal(MachineId("i-000001"), 1, 1, 2)])
+
+
+def test_a_relay_never_answers_by_itself_what_has_ended():
+    """The leader says so with each answer; until the task is reaped its report is passed on."""
+    node = Node().granted()
+    node.link.settled = False
+    ended = wm.TaskReport("wk-000001/0", 1, wm.TaskState.EXITED, wm.DONE)
+    for seq in (1, 2, 3):
+        assert node.takes(report(seq, [ended])) == 200
+    assert len(node.link.asked) == 3
+
+
+STOPS = [
+    ("the grant has run out", lambda node: node.clock.advance(GRANT_S + 0.1)),
+    ("a report shows a higher token", lambda node: node.takes(report(9, token=Token(8), machine="i-000002"))),
+    ("a peer leads with a higher token", lambda node: node.relay.token_seen(Token(8))),
+]
+
+
+@pytest.mark.parametrize("stop", [row[1] for row in STOPS], ids=[row[0] for row in STOPS])
+def test_a_relay_stops_at_once(stop):
+    node = Node().granted()
+    assert node.takes(report(1)) == 200
+    stop(node)
+    asked = len(node.link.asked)
+    assert node.takes(report(2)) is None and node.takes(report(3, [])) is None
+    box = []
+    command = m.CommandsPassed(1, TOKEN, "10.0.0.1:9000", Raw(b"{}"))
+    Deferred.fromCoroutine(node.relay.commands(command)).addCallback(box.append)
+    assert box[0].outcome is m.Outcome.NOT_SENT and node.workers.called == 0
+    assert len(node.link.asked) == asked, "nothing is passed on"
+
+
+def test_a_grant_of_an_earlier_term_counts_for_nothing():
+    node = Node().granted(Token(8))
+    node.relay.take_grant(m.Grant(LEADER, TOKEN, GRANT_S))
+    assert node.relay.granted().token == 8
+
+
+def test_a_new_term_hears_of_the_sessions_and_gets_the_next_reports_whole():
+    node = Node().granted()
+    node.takes(report(1))
+    node.granted(Token(9))
+    assert node.link.sent[-1] == m.SessionsHeld(NodeName("n1"), Token(9), [MachineId("i-000001")])
+    node.takes(report(2, token=TOKEN))
+    assert len(node.link.asked) == 2 and node.link.asked[-1].token == 9
+
+
+def test_what_the_leader_wants_whole_is_passed_on():
+    node = Node().granted()
+    node.takes(report(1))
+    node.relay.resend(m.ResendWanted(TOKEN, [MachineId("i-000001")]))
+    node.takes(report(2))
+    assert len(node.link.asked) == 2
+
+
+@pytest.mark.parametrize("failure", [NotSent("no line"), Unanswered("lost")])
+def test_without_the_leaders_answer_a_worker_is_sent_on(failure):
+    node = Node().granted()
+    node.link.failure = failure
+    assert node.takes(report(1)) == 503
+
+
+OUTCOMES = [
+    (Reply(200, b'{"stall":"i-000001"}'), m.Outcome.ANSWERED, b'{"stall":"i-000001"}'),
+    (Reply(409, b"no json"), m.Outcome.ANSWERED, b"null"),
+    (NotSent("refused"), m.Outcome.NOT_SENT, b"null"),
+    (Unanswered("lost"), m.Outcome.UNANSWERED, b"null"),
+]
+
+
+@pytest.mark.parametrize(("outcome", "told", "body"), OUTCOMES)
+def test_each_outcome_of_commands_is_told_apart(outcome, told, body):
+    node = Node().granted()
+    node.workers.outcome = outcome
+    box = []
+    command = m.CommandsPassed(4, TOKEN, "10.0.0.1:9000", Raw(b"{}"))
+    Deferred.fromCoroutine(node.relay.commands(command)).addCallback(box.append)
+    assert (box[0].number, box[0].outcome, bytes(box[0].body)) == (4, told, body)
+
+
+# The leader's side
+
+
+class RelayLink:
+    def __init__(self):
+        self.sent = []
+        self.away: set[str] = set()
+        self.answer: m.CommandsAnswered | Exception = m.CommandsAnswered(0, m.Outcome.ANSWERED, 200, Raw(b"{}"))
+
+    def send_relay(self, message, peer):
+        if peer in self.away:
+            return False
+        self.sent.append((peer, message))
+        return True
+
+    async def ask_relay(self, peer, make, timeout):
+        make(1)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+class Peer:
+    def __init__(self, node, room):
+        self.node, self.relay_room = node, room
+
+
+class Pool:
+    def __init__(self, mode=RelayMode.ALWAYS, own_room=10, rooms=(100, 100)):
+        self.clock, self.link, self.here = Clock(), RelayLink(), Workers()
+        self.clock.advance(1000.0)
+        self.peers = [Peer(NodeName(f"n{number + 1}"), room) for number, room in enumerate(rooms)]
+        zones = {NodeName("n1"): "east", NodeName("n2"): "west"}
+        self.roster = Roster(TOKEN)
+        self.pool = RelayPool(
+            self.clock, LEADER, TOKEN, self.link, self.here, mode, own_room, zones, 4.0, lambda: self.peers
+        )
+        self.pool.serves(self.roster)
+        self.pool.grant()
+
+    def machine(self, name="i-000001", zone="east", seq=5):
+        machine = Machine(MachineId(name), MachineKind("small", zone, True), None, Instant(0.0))
+        machine.addr = "10.0.0.1:9000"
+        self.roster.add(machine)
+        self.roster.apply(machine, report(seq, [], machine=name), Instant(self.clock.seconds()))
+        return machine
+
+
+RENEWALS = [
+    # token, session, the whole report that is repeated, the report: is it heard, and is the next one wanted whole?
+    ("of the newest whole report", TOKEN, 1, 5, 6, True, False),
+    ("told twice", TOKEN, 1, 5, 5, False, False),
+    ("late, older than what is known", TOKEN, 1, 3, 4, False, False),
+    ("of an earlier session", TOKEN, 0, 5, 9, False, False),
+    ("of a later session, not known yet", TOKEN, 2, 1, 2, False, True),
+    ("a whole report has been overtaken", TOKEN, 1, 4, 6, True, True),
+    ("by a relay of an earlier term", Token(6), 1, 5, 6, False, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("token", "session", "whole", "seq", "heard", "wanted"), [row[1:] for row in RENEWALS], ids=[r[0] for r in RENEWALS]
+)
+def test_a_renewal_renews_what_is_heard_and_takes_nothing_away(token, session, whole, seq, heard, wanted):
+    leader = Pool()
+    machine = leader.machine()
+    version, before = machine.version, machine.last_heard
+    leader.clock.advance(3.0)
+    leader.link.sent.clear()
+    renewal = m.Renewal(machine.id, session, whole, seq)
+    for _ in range(2):
+        leader.pool.renewed(m.Renewals(NodeName("n1"), token, [renewal]))
+    assert (machine.last_heard > before) is heard and machine.heard_at == before, "whole reports alone tell"
+    assert machine.version == version
+    asked = [message for _, message in leader.link.sent if isinstance(message, m.ResendWanted)]
+    assert bool(asked) is wanted
+
+
+def test_machines_that_must_be_looked_at_again_are_asked_for_whole():
+    leader = Pool()
+    machine = leader.machine()
+    machine.shown = None
+    leader.link.sent.clear()
+    leader.pool.renewed(m.Renewals(NodeName("n1"), TOKEN, [m.Renewal(machine.id, 1, 5, 6)]))
+    assert leader.link.sent == [(NodeName("n1"), m.ResendWanted(TOKEN, [machine.id]))]
+
+
+def test_a_relays_silence_is_not_its_workers():
+    leader = Pool()
+    machine = leader.machine()
+    relay = leader.pool.arrived(machine, None)
+    assert relay == "n1", "the worker's zone first"
+    leader.pool.peer_lost(relay)
+    assert machine.excused_until == leader.clock.seconds() + 1.25 * 4.0 + 4.0 + 1.0
+    assert leader.pool.assignment.relay_of(machine.id) is None
+
+
+SENT = [
+    # what became of commands through a relay, and what the sender is told
+    ("not sent", m.CommandsAnswered(0, m.Outcome.NOT_SENT), NotSent),
+    ("unanswered", m.CommandsAnswered(0, m.Outcome.UNANSWERED), Unanswered),
+    ("the link was lost", Unanswered("the line is lost"), Unanswered),
+    ("too many are open", NotSent("1000 questions are open already"), NotSent),
+    ("answered", m.CommandsAnswered(0, m.Outcome.ANSWERED, 409, Raw(b"{}")), Reply(409, b"{}")),
+]
+
+
+@pytest.mark.parametrize(("answer", "told"), [row[1:] for row in SENT], ids=[row[0] for row in SENT])
+def test_commands_go_through_the_relay_that_has_the_session(answer, told):
+    leader = Pool()
+    machine = leader.machine()
+    leader.pool.arrived(machine, NodeName("n1"))
+    leader.link.answer = answer
+    box = []
+    Deferred.fromCoroutine(leader.pool.post(machine, b"{}")).addBoth(box.append)
+    assert box == [told] if isinstance(told, Reply) else box[0].check(told)
+    assert leader.here.called == 0
+
+
+def test_without_its_relay_commands_go_from_here():
+    leader = Pool()
+    machine = leader.machine()
+    leader.pool.arrived(machine, NodeName("n1"))
+    leader.link.away.add("n1")
+    leader.pool.grant()
+    Deferred.fromCoroutine(leader.pool.post(machine, b"{}"))
+    assert leader.here.called == 1
+
+
+MODES = [
+    # machines known, and whether nodes are granted to answer
+    (RelayMode.AUTO, 10, False),
+    (RelayMode.AUTO, 11, True),
+    (RelayMode.ALWAYS, 1, True),
+]
+
+
+@pytest.mark.parametrize(("mode", "machines", "granted"), MODES)
+def test_relays_are_used_once_the_leaders_sockets_are_short(mode, machines, granted):
+    leader = Pool(mode)
+    for number in range(machines):
+        leader.machine(f"i-{number:06d}")
+    leader.link.sent.clear()
+    leader.pool.grant()
+    assert bool(leader.link.sent) is granted
+    leader.roster.machines.clear()
+    leader.pool.grant()
+    assert (leader.pool.count > 0) is (mode is RelayMode.ALWAYS), "and no more once there are few"
+
+
+def test_a_node_of_an_earlier_version_is_never_a_relay():
+    leader = Pool(rooms=(None, 100))
+    assert {peer for peer, _ in leader.link.sent} == {"n2"}
+
+
+# Who reports where
+
+
+def assigned(rooms, count):
+    assignment = Assignment()
+    assignment.relays = {NodeName(f"n{i}"): RelayRoom("east", room) for i, room in enumerate(rooms, 1)}
+    for number in range(count):
+        assignment.arrived(MachineId(f"i-{number:06d}"), "east", LEADER)
+    return assignment
+
+
+@pytest.mark.parametrize(("rooms", "count"), [((100, 100, 100, 100), 200), ((30, 100), 100), ((10, 10), 20)])
+def test_no_relay_gets_more_than_its_room_nor_much_more_than_its_part(rooms, count):
+    assignment = assigned(rooms, count)
+    loads = [assignment.load(node) for node in assignment.relays]
+    assert sum(loads) == count and all(load <= room for load, room in zip(loads, rooms, strict=True))
+    assert max(loads) <= max(1.25 * count / len(rooms) + 1, count - min(rooms))
+
+
+def test_a_relay_that_goes_moves_only_its_own_workers():
+    assignment = assigned((200, 200, 200), 150)
+    names = [MachineId(f"i-{number:06d}") for number in range(150)]
+    before = {name: assignment.relay_of(name) for name in names}
+    lost = assignment.lose(NodeName("n1"))
+    assert set(lost) == {name for name in names if before[name] == "n1"} and len(lost) > 20
+    for name in names:
+        assignment.arrived(name, "east", before[name] if before[name] != "n1" else LEADER)
+    moved = Counter(before[name] for name in names if assignment.relay_of(name) != before[name])
+    assert set(moved) == {"n1"}
+
+
+def test_with_all_relays_full_workers_stay_with_the_leader():
+    assignment = assigned((5, 5), 10)
+    assert assignment.arrived(MachineId("i-000099"), "east", LEADER) is None
+    assert assignment.relay_of(MachineId("i-000099")) is None
+
+
+def test_a_relay_that_does_not_serve_a_worker_is_avoided_for_it():
+    assignment = assigned((100, 100), 0)
+    name = MachineId("i-000001")
+    first = assignment.arrived(name, "east", LEADER)
+    second = assignment.arrived(name, "east", LEADER)
+    assert {first, second} == {"n1", "n2"}
+    assert assignment.arrived(name, "east", LEADER) is None, "then it stays where it gets answers"
+    assignment.forgive()
+    assert assignment.arrived(name, "east", LEADER) is not None
+
+
+def test_a_worker_that_comes_by_another_relay_stays_there():
+    assignment = assigned((100, 100), 0)
+    name = MachineId("i-000001")
+    first = assignment.arrived(name, "east", LEADER)
+    other = NodeName("n1" if first == "n2" else "n2")
+    assert assignment.arrived(name, "east", other) is None and assignment.relay_of(name) == other
+
+
+# Questions on the link
+
+
+class Line:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def test_a_line_that_is_lost_leaves_all_that_is_open_unanswered():
+    questions, line, box = Questions(Clock(), 3), Line(), []
+    for _ in range(3):
+        Deferred.fromCoroutine(questions.ask(line, lambda number: number, 5.0)).addErrback(box.append)
+    refused = []
+    Deferred.fromCoroutine(questions.ask(line, lambda number: number, 5.0)).addErrback(refused.append)
+    assert refused[0].check(NotSent) and line.sent == [1, 2, 3], "what is more than fits is refused, not buffered"
+    questions.closed(line)
+    assert len(box) == 3 and all(failure.check(Unanswered) for failure in box)
+
+
+def test_an_answer_that_comes_after_its_time_is_dropped():
+    clock, line, box = Clock(), Line(), []
+    questions = Questions(clock, 3)
+    Deferred.fromCoroutine(questions.ask(line, lambda number: number, 1.0)).addErrback(box.append)
+    clock.advance(1.1)
+    assert box[0].check(Unanswered)
+    questions.answered(line, m.CommandsAnswered(1, m.Outcome.ANSWERED))
+
+
+def test_versions_of_renewals_go_by_session_first():
+    assert ReportVersion(2, 1) > ReportVersion(1, 99)
