--- a/lab/machines.py
+++ b/lab/machines.py
@@ -120,6 +120,8 @@
         """Its reports arrive; answers and commands don't reach it."""
         self.mute = False
         """It reaches no controller; direct commands reach it, and are answered."""
+        self.ended = False
+        """It is gone, on a reactor that goes on."""
 
     @property
     def now(self) -> float:
@@ -147,7 +149,7 @@
 
     async def _live(self) -> None:
         facts, random = self._world.facts, self._world.simulation.random
-        while True:
+        while not self.ended:
             wait = await self._report()
             if wait is None:
                 wait = facts.report_s * random.uniform(0.75, 1.25)
@@ -238,7 +240,7 @@
             self._lease_from = self.now
             self._changed()
             left = self._world.facts.lease_s
-        if again:
+        if again and not self.ended:
             self._reactor.callLater(left + 0.01, self._check_lease)
 
     # Commands
@@ -246,9 +248,9 @@
     def _serve(
         self, caller: str, method: str, path: str, query: dict[str, str], body: bytes
     ) -> Answer | Deferred[Answer]:
-        self._check_lease(False)
         if self.deaf:
             return Deferred()
+        self._check_lease(False)
         if path == "/commands":
             share, for_s = self._world.hold
             if share and self._world.simulation.random.random() < share:
--- /dev/null
+++ b/scale/child.py
@@ -0,0 +1,133 @@
+"""`python3 -m scale.child ROLE NUMBER SETUP`: one process of a run, which ends with it."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+from twisted.internet import reactor as _reactor
+from twisted.internet.task import LoopingCall
+
+from meadowcross.common.types import Address
+from scale import bus
+from scale.events import Recorder, UserHistory
+from scale.hollow import HollowProcess
+from scale.hosts import Host, RealTime
+from scale.plan import Plan
+from scale.region import CloudProcess, PortHost, StateProcess
+from scale.submitters import Submitters
+
+reactor: Any = _reactor
+FLUSH_S = 0.5
+
+
+class Setup(Struct):
+    """What the run tells its processes, in a file."""
+
+    plan: Plan
+    directory: str
+    bus_port: int
+    state_port: int
+    cloud_port: int
+    nodes: dict[str, Address]
+
+
+class Tally(Struct):
+    """What a process counted, one JSON line an interval; histograms in HdrHistogram's own encoding."""
+
+    at: float
+    name: str
+    reports: int = 0
+    unanswered: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    commands: int = 0
+    workers: int = 0
+    store_requests: int = 0
+    store_changes: int = 0
+    store_refused: int = 0
+    answers: str = ""
+
+
+class Child:
+    """Wires a role to the bus, and writes its tallies."""
+
+    def __init__(self, role: str, number: int, setup: Setup) -> None:
+        self._name = f"{role}{number}"
+        self._directory = Path(setup.directory)
+        self._recorder = Recorder(self._directory, self._name)
+        self._tallies = (self._directory / f"tally-{self._name}.jsonl").open("ab")
+        self._member = bus.Member(self._heard, self._opened, self._ended)
+        self._role: Any = getattr(self, f"_{role}")(number, setup)
+        for every_s, act in ((FLUSH_S, self._recorder.flush), (setup.plan.interval_s, self._count)):
+            LoopingCall(act).start(every_s, now=False)
+        reactor.connectTCP("127.0.0.1", setup.bus_port, self._member)
+
+    def _state(self, number: int, setup: Setup) -> StateProcess:
+        host = PortHost(reactor, RealTime(reactor, setup.plan.seed), setup.state_port)
+        return StateProcess(host, setup.plan.state, self._recorder, self._member.send)
+
+    def _cloud(self, number: int, setup: Setup) -> CloudProcess:
+        plan = setup.plan
+        host = PortHost(reactor, RealTime(reactor, plan.seed + 1), setup.cloud_port)
+        return CloudProcess(
+            host, plan.cloud, plan.types, plan.facts.fetch_gb_per_s, plan.hollow_processes, plan.workers,
+            self._recorder,
+            self._member.send,
+        )  # fmt: skip
+
+    def _users(self, number: int, setup: Setup) -> Submitters:
+        host = Host(reactor, RealTime(reactor, setup.plan.seed + 2))
+        history = UserHistory(reactor.seconds, setup.plan.facts.cancel_s, self._recorder)
+        return Submitters(host, setup.plan, setup.nodes, history, self._member.send)
+
+    def _hollow(self, number: int, setup: Setup) -> HollowProcess:
+        plan = setup.plan
+        return HollowProcess(reactor, number, plan.seed, plan.facts, setup.nodes, plan.rack_workers, self._recorder)
+
+    def _opened(self) -> None:
+        self._member.send(bus.Ready(self._name))
+        if isinstance(self._role, Submitters):
+            self._role.begin()
+
+    def _heard(self, message: bus.Message) -> None:
+        if isinstance(message, bus.Finish):
+            self._count()
+            self._ended()
+        elif isinstance(self._role, (HollowProcess, StateProcess)):
+            self._role.heard(message)
+
+    def _ended(self) -> None:
+        self._recorder.flush()
+        if reactor.running:
+            reactor.stop()
+
+    def _count(self) -> None:
+        tally = Tally(reactor.seconds(), self._name)
+        if isinstance(self._role, HollowProcess):
+            traffic = self._role.traffic
+            tally.reports, tally.unanswered, tally.commands = traffic.reports, traffic.unanswered, traffic.commands
+            tally.sent_bytes, tally.received_bytes = traffic.sent_bytes, traffic.received_bytes
+            tally.workers = len(self._role.workers)
+            tally.answers = traffic.answers.encode().decode()
+        elif isinstance(self._role, StateProcess):
+            store = self._role.store
+            tally.store_requests, tally.store_changes, tally.store_refused = (
+                store.requests, store.written, store.refusals,
+            )  # fmt: skip
+        self._tallies.write(msgspec.json.encode(tally) + b"\n")
+        self._tallies.flush()
+
+
+def main(arguments: list[str]) -> int:
+    role, number, path = arguments
+    Child(role, int(number), msgspec.json.decode(Path(path).read_bytes(), type=Setup))
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/scale/region.py
@@ -0,0 +1,102 @@
+"""The region's services as processes of their own: the project's stand-ins on a real reactor."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from lab.scenario import Cloud, State, Type
+from lab.services import Rentals, Store
+from meadowcross.leadership.messages import LEADER_KEY
+from scale import bus
+from scale.events import Deleted, LeaderSet, Recorder
+from scale.hollow import address_of, machine_number
+from scale.hosts import Host
+
+STATE_PORT, CLOUD_PORT = 2379, 8443
+"""Which the stand-ins ask for; `PortHost` gives them a free one."""
+
+
+class PortHost(Host):
+    """A host whose service listens on a port that the run chose."""
+
+    def __init__(self, reactor: Any, simulation: Any, port: int) -> None:
+        super().__init__(reactor, simulation)
+        self._port = port
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
+        return super().listenTCP(self._port, factory, 1_024, interface)
+
+
+class StateProcess:
+    """The state service, which tells of each new leader."""
+
+    def __init__(self, host: PortHost, facts: State, recorder: Recorder, send: Callable[[bus.Message], None]) -> None:
+        self._host = host
+        self._recorder = recorder
+        self._send = send
+        stand_in_reactor: Any = host
+        self.store = Store(stand_in_reactor, facts)
+        self.store.on_written = self._written
+
+    def _written(self, caller: str, request: dict[str, Any]) -> bool:
+        for write in request["writes"]:
+            if write.get("write") == LEADER_KEY:
+                node, token = write["data"]["node"], self.store.service.keys[LEADER_KEY]["mark"]
+                self._recorder.write(LeaderSet(self._host.seconds(), node, token))
+                self._send(bus.Leads(node, token))
+        return True
+
+    def heard(self, message: bus.Message) -> None:
+        """Takes its troubles."""
+        if isinstance(message, bus.StoreTrouble):
+            self.store.service.outage = message.outage
+            self.store.slow = message.slow
+
+
+class CloudProcess(Rentals):
+    """The cloud, whose machines are played by hollow processes in turn."""
+
+    def __init__(
+        self,
+        host: PortHost,
+        facts: Cloud,
+        types: list[Type],
+        fetch_gb_per_s: float,
+        hollow_processes: int,
+        most: int,
+        recorder: Recorder,
+        send: Callable[[bus.Message], None],
+    ) -> None:
+        """`most` machines there are in all, whatever their types allow."""
+        stand_in_reactor: Any = host
+        super().__init__(stand_in_reactor, facts, types, fetch_gb_per_s)
+        self._most = most
+        self._host = host
+        self._hollow_processes = hollow_processes
+        self._recorder = recorder
+        self._send = send
+        self._rentals: dict[str, dict[str, Any]] = {}
+        """All that were ever rented: the list shows them for a while after they are gone."""
+        self.on_rent, self.on_delete = self._rented, self._deleted
+
+    def granted(self, request: dict[str, Any]) -> int:
+        return min(super().granted(request), max(0, self._most - len(self.machines)))
+
+    def _rented(self, machine: dict[str, Any]) -> None:
+        machine["addr"] = address_of(machine["id"])
+        self.note_rented(machine)
+        self._rentals[machine["id"]] = machine
+        kind = self._kinds[machine["build"]]
+        luck = self._host.simulation.random
+        if luck.random() >= kind.boot_fail:
+            self._host.callLater(kind.boot_s * luck.uniform(0.6, 1.5), self._up, machine)
+
+    def _up(self, machine: dict[str, Any]) -> None:
+        if machine["id"] in self.machines:
+            self._send(bus.MachineUp(machine, machine_number(machine["id"]) % self._hollow_processes))
+
+    def _deleted(self, name: str) -> None:
+        self._recorder.write(Deleted(self._host.seconds(), name))
+        self._send(bus.MachineGone(name))
+        self.note_gone(self._rentals[name])
