A leader's term in modules of one job each

Change: moved method by method, unchanged, into term_loading, term_losses, term_cancels, term_reports, term_storing and term; term_base holds the state and names what each part asks of the others. One constant stood as two texts.

--- a/tests/mix.py
+++ b/tests/mix.py
@@ -1,5 +1,6 @@
 """All troubles together at some 170 machines: `python -m tests.mix FIRST LAST [always]` plays these seeds, a line each,
-exit 1 if a rule broke; `always`: with relays. Half of each play's troubles are drawn from the addition's, half from the meetings'."""
+exit 1 if a rule broke; `always`: with relays. Half of each play's troubles are drawn from the addition's, half from the
+meetings'."""
 
 from __future__ import annotations
 
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -18,7 +18,7 @@
 from meadowcross.jobs.api import JobApi, answer_of
 from meadowcross.jobs.book import Phase
 from meadowcross.jobs.messages import Standing
-from meadowcross.leadership import term as terms
+from meadowcross.leadership import term_cancels
 from meadowcross.leadership.cancels import MAX_REMEMBERED, Cancels
 from meadowcross.leadership.messages import MAX_CANCELS, CancelsTold, decode, encode
 from meadowcross.leadership.peerlink import PeerLink, _Line
@@ -357,7 +357,7 @@
 
 
 def stops_not_repeated(monkeypatch):
-    monkeypatch.setattr(terms, "unheard_stops", lambda jobs, now, most: [])
+    monkeypatch.setattr(term_cancels, "unheard_stops", lambda jobs, now, most: [])
 
 
 def fetching_counts_as_gone(monkeypatch):
