--- a/scale/child.py
+++ b/scale/child.py
@@ -33,6 +33,7 @@
     state_port: int
     cloud_port: int
     nodes: dict[str, Address]
+    network: int
 
 
 class Tally(Struct):
@@ -74,7 +75,7 @@
         plan = setup.plan
         host = PortHost(reactor, RealTime(reactor, plan.seed + 1), setup.cloud_port)
         return CloudProcess(
-            host, plan.cloud, plan.types, plan.facts.fetch_gb_per_s, plan.hollow_processes, plan.workers,
+            host, plan.cloud, plan.types, plan.facts.fetch_gb_per_s, plan.hollow_processes, plan.workers, setup.network,
             self._recorder,
             self._member.send,
         )  # fmt: skip
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -13,7 +13,7 @@
 from meadowcross.common.types import Address
 from scale import bus
 from scale.events import Commanded, LeaseEnded, Recorder, TaskOff, TaskOn, TokenSeen
-from scale.hosts import Host, RealTime, worker_address
+from scale.hosts import Host, RealTime
 
 LONGEST_MS = 60_000
 DIGITS = 2
@@ -161,8 +161,3 @@
 def machine_number(name: str) -> int:
     """Machines are numbered in the order of their rentals."""
     return int(name.removeprefix("i-"))
-
-
-def address_of(name: str) -> str:
-    """Where the worker of a machine listens."""
-    return worker_address(machine_number(name))
--- a/scale/hosts.py
+++ b/scale/hosts.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
+import socket
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -10,16 +13,28 @@
 from zope.interface import implementer
 
 WORKER_PORT = 9000
-FIRST_NETWORK = 16
-"""Workers are at 127.16.0.1 and on; services and controllers at 127.0.0.1."""
+NETWORKS = range(16, 255)
+"""A run's workers are at 127.N.0.1 and on; services and controllers at 127.0.0.1."""
 HOSTS_A_NETWORK = 250
 
 
-def worker_address(number: int) -> str:
-    """Host and port of the machine with this number, on loopback."""
-    network, host = divmod(number, HOSTS_A_NETWORK)
-    upper, lower = divmod(network, 256)
-    return f"127.{FIRST_NETWORK + upper}.{lower}.{host + 1}:{WORKER_PORT}"
+def worker_address(network: int, number: int) -> str:
+    """Host and port of the machine with this number, on loopback, in the network of a run."""
+    lower, host = divmod(number, HOSTS_A_NETWORK)
+    return f"127.{network}.{lower}.{host + 1}:{WORKER_PORT}"
+
+
+def free_network() -> int:
+    """A network in which no other run plays now: workers of two runs would take each other's commands.
+
+    Raises OSError where there is none.
+    """
+    for network in random.sample(NETWORKS, len(NETWORKS)):
+        # Each run holds this address for as long as it plays.
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((f"127.{network}.255.254", WORKER_PORT))
+            return network
+    raise OSError("no free network on loopback")
 
 
 class RealTime:
--- a/scale/region.py
+++ b/scale/region.py
@@ -10,8 +10,8 @@
 from meadowcross.leadership.messages import LEADER_KEY
 from scale import bus
 from scale.events import Deleted, LeaderSet, Recorder
-from scale.hollow import address_of, machine_number
-from scale.hosts import Host
+from scale.hollow import machine_number
+from scale.hosts import Host, worker_address
 
 STATE_PORT, CLOUD_PORT = 2379, 8443
 """Which the stand-ins ask for; `PortHost` gives them a free one."""
@@ -65,13 +65,15 @@
         fetch_gb_per_s: float,
         hollow_processes: int,
         most: int,
+        network: int,
         recorder: Recorder,
         send: Callable[[bus.Message], None],
     ) -> None:
-        """`most` machines there are in all, whatever their types allow."""
+        """`most` machines there are in all, whatever their types allow; their addresses are of this network."""
         stand_in_reactor: Any = host
         super().__init__(stand_in_reactor, facts, types, fetch_gb_per_s)
         self._most = most
+        self._network = network
         self._host = host
         self._hollow_processes = hollow_processes
         self._recorder = recorder
@@ -84,7 +86,7 @@
         return min(super().granted(request), max(0, self._most - len(self.machines)))
 
     def _rented(self, machine: dict[str, Any]) -> None:
-        machine["addr"] = address_of(machine["id"])
+        machine["addr"] = worker_address(self._network, machine_number(machine["id"]))
         self.note_rented(machine)
         self._rentals[machine["id"]] = machine
         kind = self._kinds[machine["build"]]
--- a/scale/run.py
+++ b/scale/run.py
@@ -24,6 +24,7 @@
 from scale import bus
 from scale.child import Setup
 from scale.events import Killed, Recorder
+from scale.hosts import WORKER_PORT, free_network
 from scale.plan import Fault, Plan
 from scale.verdict import sum_up
 
@@ -177,6 +178,9 @@
         self._api = {name: Address(f"127.0.0.1:{port}") for name, port in zip(names, ports, strict=False)}
         self._peer_ports = dict(zip(names, ports[plan.controllers :], strict=False))
         self._outside = ports[-2:]
+        self._network = free_network()
+        self._claim = socket.create_server((f"127.{self._network}.255.254", WORKER_PORT))
+        """Tells other runs that the network is taken."""
 
     def play(self) -> dict[str, Any]:
         """Raises RunError; whatever happens, nothing that was started goes on."""
@@ -186,6 +190,7 @@
             reactor.run()
         finally:
             self._end_all()
+            self._claim.close()
             self._recorder.flush()
             self._intervals.close()
         if self._failure is not None:
@@ -204,7 +209,13 @@
     def _start(self) -> None:
         port = reactor.listenTCP(0, self._hub, interface="127.0.0.1")
         setup = Setup(
-            self._plan, str(self._directory), port.getHost().port, self._outside[0], self._outside[1], self._api
+            self._plan,
+            str(self._directory),
+            port.getHost().port,
+            self._outside[0],
+            self._outside[1],
+            self._api,
+            self._network,
         )
         (self._directory / "setup.json").write_bytes(msgspec.json.encode(setup))
         (self._directory / "operator.xml").write_text(
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -12,13 +13,14 @@
 from lab.judge import Spec
 from scale import events as e
 from scale.copies import Growth, enlarge
+from scale.hosts import WORKER_PORT, free_network, worker_address
 from scale.plan import PlanError, load, stretched
 from scale.report import report, usage_by_role
 from scale.run import Interval, Usage
 from scale.verdict import Replay
 
 ROOT = Path(__file__).resolve().parent.parent
-PLANS = sorted((ROOT / "examples" / "scale").glob("*.toml"))
+PLANS = sorted((ROOT / "examples" / "scale").rglob("*.toml"))
 SHORT = ROOT / "examples" / "scale" / "short.toml"
 
 
@@ -135,3 +137,10 @@
     assert summary["classes"]["urgent"]["begun"] > 10
     assert set(summary["usage"]) >= {"leader", "other controllers", "hollow", "state", "cloud", "users"}
     assert report([out], str(tmp_path / "curves.png")) == 0 and (tmp_path / "curves.png").stat().st_size > 1000
+
+
+def test_two_runs_at_once_do_not_share_a_network():
+    taken = free_network()
+    with socket.create_server((f"127.{taken}.255.254", WORKER_PORT)):
+        assert all(free_network() != taken for _ in range(300))
+    assert worker_address(taken, 251) == f"127.{taken}.1.2:{WORKER_PORT}"
