--- a/scale/child.py
+++ b/scale/child.py
@@ -15,9 +15,9 @@
 from scale import bus
 from scale.events import Recorder, UserHistory
 from scale.hollow import HollowProcess
-from scale.hosts import Host, RealTime
+from scale.hosts import Host, RealTime, service_host
 from scale.plan import Plan
-from scale.region import CloudProcess, PortHost, StateProcess
+from scale.region import CloudProcess, StateProcess
 from scale.submitters import Submitters
 
 reactor: Any = _reactor
@@ -30,8 +30,6 @@
     plan: Plan
     directory: str
     bus_port: int
-    state_port: int
-    cloud_port: int
     nodes: dict[str, Address]
     network: int
 
@@ -68,12 +66,12 @@
         reactor.connectTCP("127.0.0.1", setup.bus_port, self._member)
 
     def _state(self, number: int, setup: Setup) -> StateProcess:
-        host = PortHost(reactor, RealTime(reactor, setup.plan.seed), setup.state_port)
+        host = Host(reactor, RealTime(reactor, setup.plan.seed), service_host(setup.network))
         return StateProcess(host, setup.plan.state, self._recorder, self._member.send)
 
     def _cloud(self, number: int, setup: Setup) -> CloudProcess:
         plan = setup.plan
-        host = PortHost(reactor, RealTime(reactor, plan.seed + 1), setup.cloud_port)
+        host = Host(reactor, RealTime(reactor, plan.seed + 1), service_host(setup.network))
         return CloudProcess(
             host, plan.cloud, plan.types, plan.facts.fetch_gb_per_s, plan.hollow_processes, plan.workers, setup.network,
             self._recorder,
--- a/scale/hosts.py
+++ b/scale/hosts.py
@@ -13,9 +13,28 @@
 from zope.interface import implementer
 
 WORKER_PORT = 9000
+API_PORT, PEER_PORT = 8080, 8081
+STATE_PORT, CLOUD_PORT = 2379, 8443
+"""Where the stand-ins listen."""
 NETWORKS = range(16, 255)
-"""A run's workers are at 127.N.0.1 and on; services and controllers at 127.0.0.1."""
+"""Of which a run has one, 127.N: workers are at 127.N.0.1 and on, controllers and services near the end."""
 HOSTS_A_NETWORK = 250
+CONTROLLERS, SERVICES = 254, 253
+
+
+def controller_address(network: int, number: int, port: int) -> str:
+    """Host and port of a controller of a run."""
+    return f"127.{network}.{CONTROLLERS}.{number + 1}:{port}"
+
+
+def service_host(network: int) -> str:
+    """Where the state service and the cloud of a run are."""
+    return f"127.{network}.{SERVICES}.1"
+
+
+def service_address(network: int, port: int) -> str:
+    """Host and port of one of them."""
+    return f"{service_host(network)}:{port}"
 
 
 def worker_address(network: int, number: int) -> str:
--- a/scale/region.py
+++ b/scale/region.py
@@ -13,25 +13,11 @@
 from scale.hollow import machine_number
 from scale.hosts import Host, worker_address
 
-STATE_PORT, CLOUD_PORT = 2379, 8443
-"""Which the stand-ins ask for; `PortHost` gives them a free one."""
-
-
-class PortHost(Host):
-    """A host whose service listens on a port that the run chose."""
-
-    def __init__(self, reactor: Any, simulation: Any, port: int) -> None:
-        super().__init__(reactor, simulation)
-        self._port = port
-
-    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
-        return super().listenTCP(self._port, factory, 1_024, interface)
-
 
 class StateProcess:
     """The state service, which tells of each new leader."""
 
-    def __init__(self, host: PortHost, facts: State, recorder: Recorder, send: Callable[[bus.Message], None]) -> None:
+    def __init__(self, host: Host, facts: State, recorder: Recorder, send: Callable[[bus.Message], None]) -> None:
         self._host = host
         self._recorder = recorder
         self._send = send
@@ -59,7 +45,7 @@
 
     def __init__(
         self,
-        host: PortHost,
+        host: Host,
         facts: Cloud,
         types: list[Type],
         fetch_gb_per_s: float,
--- a/scale/run.py
+++ b/scale/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import resource
 import signal
 import socket
@@ -24,7 +23,16 @@
 from scale import bus
 from scale.child import Setup
 from scale.events import Killed, Recorder
-from scale.hosts import WORKER_PORT, free_network
+from scale.hosts import (
+    API_PORT,
+    CLOUD_PORT,
+    PEER_PORT,
+    STATE_PORT,
+    WORKER_PORT,
+    controller_address,
+    free_network,
+    service_address,
+)
 from scale.plan import Fault, Plan
 from scale.verdict import sum_up
 
@@ -33,8 +41,6 @@
 MOST_MEMORY_BYTES = 12 * 2**30
 START_WITHIN_S = 30.0
 END_WITHIN_S = 5.0
-FIRST_PORT, LAST_PORT = 20_000, 29_999
-"""Below the range from which the system takes ports of outgoing connections."""
 
 
 class Usage(Struct):
@@ -110,36 +116,25 @@
         return Usage(self.name, round(share, 3), round(memory / 2**20, 1), sockets)
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports on loopback that nobody listens on."""
-    found: list[int] = []
-    port = FIRST_PORT + os.getpid() % 5_000
-    while len(found) < count and port < LAST_PORT:
-        port += 1
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            probe.bind(("127.0.0.1", port))
-            found.append(port)
-    if len(found) < count:
-        raise RunError("no free ports on loopback")
-    return found
-
-
-def settings_toml(plan: Plan, name: str, api: dict[str, Address], peers: dict[str, int], outside: list[int]) -> str:
+def settings_toml(plan: Plan, name: str, network: int) -> str:
     """A controller's settings file, as the platform writes it."""
-    zones = {one: plan.zones[number % len(plan.zones)] for number, one in enumerate(api)}
+    names = plan.controller_names()
+    zones = {one: plan.zones[number % len(plan.zones)] for number, one in enumerate(names)}
+    api = {one: controller_address(network, number, API_PORT) for number, one in enumerate(names)}
+    peers = {one: controller_address(network, number, PEER_PORT) for number, one in enumerate(names)}
     facts, state, cloud, limits = plan.facts, plan.state, plan.cloud, plan.limits
     lines = [
         f'host_name = "{name}"', f'zone = "{zones[name]}"', f'api_addr = "{api[name]}"',
-        f'peer_bind = "127.0.0.1:{peers[name]}"',
+        f'peer_bind = "{peers[name]}"',
     ]  # fmt: skip
     for other in api:
         if other != name:
-            endpoint = f'endpoint = "127.0.0.1:{peers[other]}"'
+            endpoint = f'endpoint = "{peers[other]}"'
             lines += ["[[peers]]", f'host_name = "{other}"', f'zone = "{zones[other]}"', endpoint]
     every_zone = sorted({zone for one in plan.types for zone in one.zones} | set(plan.zones))
     lines += [
-        "[outside]", f'state = "127.0.0.1:{outside[0]}"', f'cloud = "127.0.0.1:{outside[1]}"',
+        "[outside]", f'state = "{service_address(network, STATE_PORT)}"',
+        f'cloud = "{service_address(network, CLOUD_PORT)}"',
         "[facts]", f"initial_size = {plan.controllers}", f"zones = {msgspec.json.encode(every_zone).decode()}",
     ]  # fmt: skip
     for team in plan.teams:
@@ -173,12 +168,11 @@
         self._intervals = (directory / "intervals.jsonl").open("ab")
         self._failure: RunError | None = None
         self._began = 0.0
-        ports = free_ports(2 * plan.controllers + 2)
-        names = plan.controller_names()
-        self._api = {name: Address(f"127.0.0.1:{port}") for name, port in zip(names, ports, strict=False)}
-        self._peer_ports = dict(zip(names, ports[plan.controllers :], strict=False))
-        self._outside = ports[-2:]
         self._network = free_network()
+        self._api = {
+            name: Address(controller_address(self._network, number, API_PORT))
+            for number, name in enumerate(plan.controller_names())
+        }
         self._claim = socket.create_server((f"127.{self._network}.255.254", WORKER_PORT))
         """Tells other runs that the network is taken."""
 
@@ -212,8 +206,6 @@
             self._plan,
             str(self._directory),
             port.getHost().port,
-            self._outside[0],
-            self._outside[1],
             self._api,
             self._network,
         )
@@ -245,7 +237,7 @@
 
     def _start_controller(self, name: str) -> None:
         path = self._directory / f"{name}.toml"
-        path.write_text(settings_toml(self._plan, name, self._api, self._peer_ports, self._outside), encoding="utf-8")
+        path.write_text(settings_toml(self._plan, name, self._network), encoding="utf-8")
         operator = str(self._directory / "operator.xml")
         profiler = ["-m", "cProfile", "-o", str(self._directory / f"{name}.profile")] if self._profile else []
         command = [sys.executable, *profiler, "run.py", "--config", str(path), "--operator-settings", operator]
