--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -136,7 +136,7 @@
     NEVER = "never"
 
 
-SOCKETS_ALONE = 0.4
+SOCKETS_ALONE = 0.43
 SOCKETS_RELAYED = 0.45
 """Of a node's sockets, the workers that it serves: each takes one for its reports and one for commands to it."""
 UNBOUNDED_WORKERS = 1_000_000
