What the leader leaves of its part of the store's limits is lent to the others

Change: a beat tells the part that its sender used lately; what a leader leaves, less a tenth, goes to the others in equal parts, up to 20 % each, so that three nodes have what they had.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -116,7 +116,7 @@
         from meadowcross.replica.picture import Counts
         from meadowcross.store.client import StoreClient
         from meadowcross.store.messages import Condition
-        from meadowcross.store.shares import LEADER_SHARE, follower_share
+        from meadowcross.store.shares import LEADER_SHARE, follower_share, lent_share
         from meadowcross.workers.api import WorkerApi
         from meadowcross.workers.visitors import Visitors, heard_window
 
@@ -126,7 +126,8 @@
         node = NodeName(settings.host_name)
         facts = settings.facts
         http = HttpClient(reactor)
-        share = follower_share(1 + len(settings.peers))
+        nodes = 1 + len(settings.peers)
+        share = follower_share(nodes)
         self.store = StoreClient(reactor, http, Address(settings.outside.state), facts.state, share)
         cloud = Cloud(reactor, http, Address(settings.outside.cloud), facts.cloud)
         self.catalog = Catalog(reactor, cloud, self.store)
@@ -225,7 +226,8 @@
             followed = follower.followed() if follower is not None else Mark(0)
             return Beat(
                 node, self.store.answering(), self.election.token, visitors.count(), life, warm, self.link.all_lost(),
-                era, eras.is_lost(), eras.old, self.election.seasoned, eras.highest, followed, relay_room,
+                era, eras.is_lost(), eras.old, self.election.seasoned, eras.highest, followed, self.store.used(),
+                relay_room,
             )  # fmt: skip
 
         def on_beat(beat: Beat) -> None:
@@ -236,6 +238,8 @@
             if beat.era_lost and beat.era is not None:
                 eras.told_lost(beat.era, beat.node, beat.era_lost_before)
             own = self.election.token
+            if own is None and beat.leads is not None and beat.life:
+                self.store.adjust_share(lent_share(nodes, beat.store_used))
             if own is not None and beat.leads is not None and beat.leads > own:
                 self.election.stand_down(f"{beat.node} leads with token {beat.leads}")
 
--- a/meadowcross/leadership/messages.py
+++ b/meadowcross/leadership/messages.py
@@ -45,6 +45,8 @@
     """The highest token it has seen anywhere."""
     followed: Mark = Mark(0)
     """Up to which revision it followed the store, a leader's own picture counted as one more."""
+    store_used: float = 0.0
+    """The part of the state service's limits that it used lately; what a leader leaves is lent to the others."""
     relay_room: int | None = None
     """How many workers it can serve for a leader; None: it can't, as any node of an earlier version."""
 
--- a/meadowcross/store/budget.py
+++ b/meadowcross/store/budget.py
@@ -9,7 +9,9 @@
 from twisted.internet.defer import Deferred
 
 from meadowcross.common.clock import Clock
+from meadowcross.common.types import Seconds
 
+USED_OVER_S: Seconds = 0.9
 LEAST_FACTOR = 0.25
 SHRINK_FACTOR = 0.75
 REGROWTH_PER_S = 0.02
@@ -32,6 +34,9 @@
         self._clock = clock
         self._full_rate = rate
         self._factor = 1.0
+        self._taken = 0.0
+        self._taken_since = clock.seconds()
+        self._used = 0.0
         self._burst = max(burst, 1.0)
         self._level = self._burst
         self._at = clock.seconds()
@@ -46,6 +51,21 @@
         self._level = min(self._burst, self._level + passed * self.rate)
         self._at = now
 
+    def set_rate(self, rate: float) -> None:
+        """Another part of the shared limit is ours from now on; what is left, and what a refusal took, stays."""
+        with self._lock:
+            self._refill()
+            self._full_rate = rate
+
+    def used(self) -> float:
+        """Units a second that were taken, over the last whole second or more that somebody asked about."""
+        with self._lock:
+            passed = self._clock.seconds() - self._taken_since
+            if passed >= USED_OVER_S:
+                self._used = self._taken / passed
+                self._taken, self._taken_since = 0.0, self._clock.seconds()
+            return self._used
+
     @property
     def rate(self) -> float:
         """Units a second that are given out now."""
@@ -58,6 +78,7 @@
             if self._level < min(amount, self._burst):
                 return False
             self._level -= amount
+            self._taken += amount
             return True
 
     def empty_out(self) -> None:
@@ -80,6 +101,7 @@
             with self._lock:
                 self._refill()
                 self._level -= amount
+                self._taken += amount
             ready.callback(None)
         elif not ahead and self.try_take(amount):
             ready.callback(None)
--- a/meadowcross/store/client.py
+++ b/meadowcross/store/client.py
@@ -90,6 +90,15 @@
         self._requests = Budget(self._clock, self._facts.rps * share, self._facts.rps * burst)
         self._writes = Budget(self._clock, self._facts.write_rps * share, self._facts.write_rps * burst)
 
+    def used(self) -> float:
+        """The part of the service's limits that this client used lately: of requests or of changes, the larger."""
+        return max(self._requests.used() / self._facts.rps, self._writes.used() / self._facts.write_rps)
+
+    def adjust_share(self, share: float) -> None:
+        """The same budgets go on at other rates."""
+        self._requests.set_rate(self._facts.rps * share)
+        self._writes.set_rate(self._facts.write_rps * share)
+
     def answering(self) -> bool:
         """Whether the last call was answered properly."""
         return self.failing_since is None
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,7 +12,7 @@
 from meadowcross.store.client import Unavailable
 from meadowcross.store.commit import Built, Committer
 from meadowcross.store.messages import Condition, Put, raw
-from meadowcross.store.shares import LEADER_SHARE, follower_share
+from meadowcross.store.shares import LEADER_SHARE, follower_share, lent_share
 from meadowcross.store.traffic import cause_of
 
 
@@ -107,6 +107,39 @@
     assert LEADER_SHARE + (nodes - 1) * follower_share(nodes) == pytest.approx(1.0)
 
 
+LENT = [
+    # nodes, what the leader uses, what each of the others may use
+    (3, 0.0, 0.2),
+    (3, 0.6, 0.2),
+    (5, 0.0, 0.2),
+    (5, 0.3, 0.15),
+    (5, 0.5, 0.1),
+    (5, 0.9, 0.1),
+    (7, 0.0, 0.15),
+]
+
+
+@pytest.mark.parametrize(("nodes", "used", "share"), LENT)
+def test_what_the_leader_leaves_is_lent_to_the_others(nodes, used, share):
+    assert lent_share(nodes, used) == pytest.approx(share)
+    # All together promise no more than the limits, but for what the leader may still take up within a beat.
+    assert used + (nodes - 1) * lent_share(nodes, used) <= max(1.0, used + 0.4) + 1e-9
+
+
+def test_a_budget_tells_what_was_used_and_takes_another_rate():
+    clock = Clock()
+    budget = Budget(clock, 10.0, 20.0)
+    for _ in range(8):
+        budget.try_take()
+    clock.advance(2.0)
+    assert budget.used() == pytest.approx(4.0)
+    clock.advance(0.5)
+    assert budget.used() == pytest.approx(4.0), "not anew within a second"
+    budget.shrink()
+    budget.set_rate(20.0)
+    assert budget.rate == pytest.approx(15.0), "what a refusal took stays taken"
+
+
 def test_a_refusal_shrinks_a_budget_for_a_while():
     clock = Clock()
     budget = Budget(clock, 10.0, 10.0)
