--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -13,12 +13,7 @@
 from msgspec import Meta, Struct, field
 from msgspec.structs import fields
 
-_Seconds = Annotated[float, Meta(ge=0, le=3600)]
-_Span = Annotated[float, Meta(gt=0, le=3600)]
-_Amount = Annotated[float, Meta(gt=0, le=100_000)]
-_Count = Annotated[int, Meta(ge=1, le=100_000)]
-_Share = Annotated[float, Meta(ge=0, le=1)]
-_Name = Annotated[str, Meta(min_length=1, max_length=60)]
+from lab.fields import Amount, Count, Name, Seconds, Share, Span
 
 
 class ScenarioError(Exception):
@@ -26,20 +21,20 @@
 
 
 class Type(Struct, forbid_unknown_fields=True):
-    name: _Name
-    cpus: _Amount
-    memory_gb: _Amount
-    zones: Annotated[list[_Name], Meta(min_length=1)]
-    price: _Amount = 0.4
-    spot_price: _Amount = 0.1
-    boot_s: _Seconds = 10.0
-    most: _Count = 50
+    name: Name
+    cpus: Amount
+    memory_gb: Amount
+    zones: Annotated[list[Name], Meta(min_length=1)]
+    price: Amount = 0.4
+    spot_price: Amount = 0.1
+    boot_s: Seconds = 10.0
+    most: Count = 50
     """Of this type, in each zone, spot or ordinary."""
-    boot_fail: _Share = 0.0
+    boot_fail: Share = 0.0
 
 
 class Team(Struct, forbid_unknown_fields=True):
-    name: _Name
+    name: Name
     cpus: Annotated[float, Meta(ge=0, le=1e6)] = 0.0
     cpus_max: Annotated[float, Meta(ge=0, le=1e6)] = 0.0
 
@@ -47,28 +42,28 @@
 class Jobs(Struct, forbid_unknown_fields=True):
     """`count` jobs of a class, the first `at_s` after the start and one more each `every_s`."""
 
-    job_class: _Name = field(name="class")
-    team: _Name
-    tasks: _Count = 1
-    count: _Count = 1
-    at_s: _Seconds = 1.0
-    every_s: _Seconds = 1.0
+    job_class: Name = field(name="class")
+    team: Name
+    tasks: Count = 1
+    count: Count = 1
+    at_s: Seconds = 1.0
+    every_s: Seconds = 1.0
     kind: Literal["array", "gang", "service"] = "array"
     priority: Literal["production", "high", "normal", "low"] = "normal"
-    cpus: _Amount = 1.0
-    memory_gb: _Amount = 1.0
-    run_s: _Span = 20.0
-    apart_s: _Seconds = 0.0
+    cpus: Amount = 1.0
+    memory_gb: Amount = 1.0
+    run_s: Span = 20.0
+    apart_s: Seconds = 0.0
     """So much longer runs each task than the one before it."""
-    image_gb: _Amount = 0.5
-    deadline_s: _Span | None = None
-    checkpoint_s: _Seconds = 0.0
-    save_s: _Seconds = 0.0
+    image_gb: Amount = 0.5
+    deadline_s: Span | None = None
+    checkpoint_s: Seconds = 0.0
+    save_s: Seconds = 0.0
     spot: bool = True
     one_zone: bool = False
     spread: bool = False
-    types: list[_Name] | None = None
-    cancel_after_s: _Span | None = None
+    types: list[Name] | None = None
+    cancel_after_s: Span | None = None
 
 
 FaultKind = Literal[
@@ -83,25 +78,25 @@
     """One trouble; which fields a kind takes is in `NEEDS`."""
 
     kind: FaultKind
-    at_s: _Seconds
+    at_s: Seconds
     node: str | None = None
     """A node's name, `leader`, `follower` or `all`."""
-    for_s: _Span | None = None
-    back_s: _Span | None = None
+    for_s: Span | None = None
+    back_s: Span | None = None
     """When what was killed is back."""
     apart: Literal["store", "workers", "peers", "all"] | None = None
     way: Literal["both", "out", "in"] = "both"
     """Out: what the node sends is stopped."""
     mode: Literal["hold", "reset", "refuse"] = "hold"
-    count: _Count | None = None
+    count: Count | None = None
     zone: str | None = None
     factor: Annotated[float, Meta(ge=0, le=1000)] | None = None
-    share: _Share | None = None
+    share: Share | None = None
     """Of transactions, or of direct commands, that are carried out late and never answered."""
     prefix: str | None = None
     what: Literal["all", "back", "prefix", "keys", "older"] | None = None
     """What is lost: everything; the last `for_s`; all below `prefix`; `count` keys; their last versions."""
-    hang_s: _Span | None = None
+    hang_s: Span | None = None
     """For so long up to eight machines hang whose tasks are called off."""
     at_once: bool = False
     """Writes are carried out in time, and only their answers are lost."""
@@ -160,35 +155,35 @@
 
 
 class State(Struct, forbid_unknown_fields=True):
-    rps: _Amount = 350.0
-    write_rps: _Amount = 150.0
-    value_kb: _Amount = 16.0
-    txn_ops: _Count = 24
-    latency_ms: _Amount = 4.0
+    rps: Amount = 350.0
+    write_rps: Amount = 150.0
+    value_kb: Amount = 16.0
+    txn_ops: Count = 24
+    latency_ms: Amount = 4.0
 
 
 class Cloud(Struct, forbid_unknown_fields=True):
-    rps: _Amount = 7.0
-    list_lag_s: _Seconds = 5.0
-    latency_ms: _Amount = 100.0
+    rps: Amount = 7.0
+    list_lag_s: Seconds = 5.0
+    latency_ms: Amount = 100.0
 
 
 class Workers(Struct, forbid_unknown_fields=True):
-    report_s: _Span = 3.0
-    lease_s: _Span = 16.0
-    cancel_s: _Span = 41.0
-    gang_wait_s: _Span = 50.0
-    gang_peer_s: _Span = 8.0
-    fetch_gb_per_s: _Amount = 1.0
+    report_s: Span = 3.0
+    lease_s: Span = 16.0
+    cancel_s: Span = 41.0
+    gang_wait_s: Span = 50.0
+    gang_peer_s: Span = 8.0
+    fetch_gb_per_s: Amount = 1.0
 
 
 class Scenario(Struct, forbid_unknown_fields=True):
-    duration_s: _Span
+    duration_s: Span
     jobs: Annotated[list[Jobs], Meta(min_length=1)]
     types: Annotated[list[Type], Meta(min_length=1)]
     teams: Annotated[list[Team], Meta(min_length=1)]
     nodes: Annotated[int, Meta(ge=1, le=7)] = 3
-    zones: Annotated[list[_Name], Meta(min_length=1)] = field(default_factory=lambda: ["east", "west"])
+    zones: Annotated[list[Name], Meta(min_length=1)] = field(default_factory=lambda: ["east", "west"])
     state: State = field(default_factory=State)
     cloud: Cloud = field(default_factory=Cloud)
     workers: Workers = field(default_factory=Workers)
--- a/scale/plan.py
+++ b/scale/plan.py
@@ -9,19 +9,13 @@
 from msgspec import Meta, Struct, field
 from msgspec.structs import replace
 
+from lab.fields import Amount, Count, Name, Seconds, Share, Span
 from lab.scenario import Cloud, State, Team, Type, Workers
 
 MOST_PROCESSES = 100
 SERVICES = 4
 """Processes beside controllers and hollow ones: the run itself, state service, cloud, users."""
 
-_Seconds = Annotated[float, Meta(ge=0, le=3600)]
-_Span = Annotated[float, Meta(gt=0, le=3600)]
-_Amount = Annotated[float, Meta(gt=0, le=100_000)]
-_Count = Annotated[int, Meta(ge=1, le=100_000)]
-_Share = Annotated[float, Meta(ge=0, le=1)]
-_Name = Annotated[str, Meta(min_length=1, max_length=60)]
-
 
 class PlanError(Exception):
     """File, field and what was expected."""
@@ -30,21 +24,21 @@
 class Load(Struct, forbid_unknown_fields=True):
     """Jobs of one class, arriving at a rate, each with half to one and a half times `tasks` tasks."""
 
-    job_class: _Name = field(name="class")
-    team: _Name
+    job_class: Name = field(name="class")
+    team: Name
     rate: Annotated[float, Meta(gt=0, le=1000)]
     """Jobs a second."""
-    tasks: _Count = 10
-    run_s: _Span = 20.0
+    tasks: Count = 10
+    run_s: Span = 20.0
     priority: Literal["critical", "urgent", "normal", "idle"] = "normal"
-    cpus: _Amount = 1.0
-    memory_gb: _Amount = 1.0
-    image_gb: _Amount = 0.2
-    images: _Count = 4
+    cpus: Amount = 1.0
+    memory_gb: Amount = 1.0
+    image_gb: Amount = 0.2
+    images: Count = 4
     initial: Annotated[int, Meta(ge=0, le=100_000)] = 0
     """Jobs that wait at the start."""
-    deadline_s: _Span | None = None
-    cancelled: _Share = 0.0
+    deadline_s: Span | None = None
+    cancelled: Share = 0.0
     """The share whose users cancel them, while they run."""
 
 
@@ -52,12 +46,12 @@
     """One trouble at a set time."""
 
     kind: Literal["controller_kill", "hollow_stop", "rack_gone", "store_outage", "store_slow"]
-    at_s: _Seconds
+    at_s: Seconds
     node: str = "leader"
     """Of `controller_kill`: a controller's name, `leader`, or `relay`, any that does not lead."""
-    back_s: _Span = 6.0
+    back_s: Span = 6.0
     """Of `controller_kill`: when it is started again."""
-    for_s: _Span = 10.0
+    for_s: Span = 10.0
     number: Annotated[int, Meta(ge=0, le=10_000)] = 0
     """Of `hollow_stop` the process, of `rack_gone` the rack."""
     factor: Annotated[float, Meta(ge=1, le=1000)] = 10.0
@@ -73,21 +67,21 @@
 
 
 class Plan(Struct, forbid_unknown_fields=True):
-    name: _Name
-    duration_s: _Span
-    workers: _Count
+    name: Name
+    duration_s: Span
+    workers: Count
     """At most so many machines at a time, whatever their types allow."""
     hollow_processes: Annotated[int, Meta(ge=1, le=MOST_PROCESSES)]
     loads: Annotated[list[Load], Meta(min_length=1)]
     types: Annotated[list[Type], Meta(min_length=1)]
     teams: Annotated[list[Team], Meta(min_length=1)]
     controllers: Annotated[int, Meta(ge=1, le=7)] = 3
-    zones: Annotated[list[_Name], Meta(min_length=1)] = field(default_factory=lambda: ["east", "west"])
+    zones: Annotated[list[Name], Meta(min_length=1)] = field(default_factory=lambda: ["east", "west"])
     seed: Annotated[int, Meta(ge=0)] = 1
-    interval_s: _Span = 2.0
-    drain_s: _Seconds = 20.0
+    interval_s: Span = 2.0
+    drain_s: Seconds = 20.0
     """Nothing is submitted any more in the last so many seconds."""
-    rack_workers: _Count = 40
+    rack_workers: Count = 40
     stretch: Annotated[float, Meta(ge=1, le=100)] = 1.0
     """All times take so much longer, and all rates are so much lower: where a machine can't play it in real time."""
     relays: Literal["auto", "always", "never"] = "auto"
--- a/tests/test_relay_lab.py
+++ b/tests/test_relay_lab.py
@@ -16,6 +16,7 @@
 from meadowcross.relay.service import RelayService
 from meadowcross.workers.roster import Change, Outcome
 from tests.test_addition import WHERE
+from tests.test_meetings import signs_of
 
 LONG = {"class": "long", "tasks": 12, "run_s": 40.0, "count": 8, "every_s": 1.0}
 FLOW = {"class": "flow", "team": "a", "tasks": 4, "run_s": 5.0, "count": 70, "at_s": 3.0, "every_s": 1.0}
@@ -60,15 +61,6 @@
         return found
 
 
-def signs_of(play, came):
-    found = play.play()
-    try:
-        came(play)
-    except AssertionError:
-        found.add("the row's mark")
-    return found
-
-
 def kill(at_s, back_s, node=RELAY):
     return {"kind": "node_kill", "at_s": at_s, "node": node, "back_s": back_s}
 
