--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -116,7 +116,7 @@
         from meadowcross.replica.picture import Counts
         from meadowcross.store.client import StoreClient
         from meadowcross.store.messages import Condition
-        from meadowcross.store.shares import LEADER_SHARE, follower_share, lent_share
+        from meadowcross.store.shares import LEADER_SHARE, lent_share
         from meadowcross.workers.api import WorkerApi
         from meadowcross.workers.visitors import Visitors, heard_window
 
@@ -127,7 +127,8 @@
         facts = settings.facts
         http = HttpClient(reactor)
         nodes = 1 + len(settings.peers)
-        share = follower_share(nodes)
+        # Until a leader has told what it uses: a cluster's first users come all at once.
+        share = lent_share(nodes, 0.0)
         self.store = StoreClient(reactor, http, Address(settings.outside.state), facts.state, share)
         cloud = Cloud(reactor, http, Address(settings.outside.cloud), facts.cloud)
         self.catalog = Catalog(reactor, cloud, self.store)
