Relays keep no idle connections for commands

Each worker took two sockets, one of them idle for 90 s. Change: where relays are used, connections for commands are closed after 2 s; a relay serves up to 0.75 workers a socket (0.45).

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -92,7 +92,7 @@
     """One controller: all slices, wired together."""
 
     def __init__(self, reactor: Any, settings: Settings, operator: Operator) -> None:
-        from meadowcross.common.http import Answer, HttpClient, Router
+        from meadowcross.common.http import BRIEFLY_OPEN_S, Answer, HttpClient, Router
         from meadowcross.common.types import Address, JobId, Mark, NodeName, Token, token_of
         from meadowcross.fleet.catalog import Catalog
         from meadowcross.fleet.cloud import Cloud
@@ -126,6 +126,7 @@
         node = NodeName(settings.host_name)
         facts = settings.facts
         http = HttpClient(reactor)
+        brief = HttpClient(reactor, keep_open_s=BRIEFLY_OPEN_S)
         nodes = 1 + len(settings.peers)
         # Until a leader has told what it uses: a cluster's first users come all at once.
         share = lent_share(nodes, 0.0)
@@ -155,7 +156,8 @@
             self.relay.token_seen(token)
             pool = (
                 RelayPool(
-                    reactor, node, token, self.link, http, operator.relays, workers_served(settings, SOCKETS_ALONE),
+                    reactor, node, token, self.link, http, brief, operator.relays,
+                    workers_served(settings, SOCKETS_ALONE),
                     {NodeName(peer.host_name): peer.zone for peer in settings.peers}, facts.workers.report_s,
                     self.link.fresh_beats,
                 )
@@ -342,7 +344,7 @@
 
         cancels = Cancels(reactor, current_term, known_leader, lambda *told: self.link.ask_cancels(*told))
         hearer = Hearer(reactor, same, lambda leader: self.link.tell(HintsWanted(node), leader))
-        self.relay = Relay(reactor, node, lambda: self.link, http, eras.token_seen)
+        self.relay = Relay(reactor, node, lambda: self.link, brief, eras.token_seen)
         self.link = PeerLink(
             reactor,
             settings.peers,
--- a/meadowcross/common/http.py
+++ b/meadowcross/common/http.py
@@ -25,6 +25,8 @@
 MAX_BODY = 64 * 1024
 MAX_DROPPED = 1024 * 1024
 KEEP_OPEN_S = 90
+BRIEFLY_OPEN_S = 2
+"""For many peers that are seldom asked, where sockets are short: a connection serves a burst, and is closed."""
 MAX_ENDPOINTS = 5_000
 
 
@@ -44,11 +46,12 @@
 class HttpClient:
     """Kept-open connections, one request at a time on each, never retried here."""
 
-    def __init__(self, reactor: Any, per_host: int = 6) -> None:
+    def __init__(self, reactor: Any, per_host: int = 6, keep_open_s: int = KEEP_OPEN_S) -> None:
+        """A connection that is idle for `keep_open_s` seconds is closed."""
         self._clock: Any = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = per_host
-        self._pool.cachedConnectionTimeout = KEEP_OPEN_S
+        self._pool.cachedConnectionTimeout = keep_open_s
         # A repeated request could be carried out twice: whoever asks decides.
         self._pool.retryAutomatically = False
         self._reactor = reactor
--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -137,8 +137,9 @@
 
 
 SOCKETS_ALONE = 0.43
-SOCKETS_RELAYED = 0.45
-"""Of a node's sockets, the workers that it serves: each takes one for its reports and one for commands to it."""
+"""Of a leader's sockets, the workers that it serves by itself: each takes one for its reports and one for commands."""
+SOCKETS_RELAYED = 0.75
+"""Of a relay's, which keeps no connection for commands; some are for those that come by, users and peers."""
 UNBOUNDED_WORKERS = 1_000_000
 
 
--- a/meadowcross/relay/pool.py
+++ b/meadowcross/relay/pool.py
@@ -75,19 +75,22 @@
         token: Token,
         link: Link,
         http: HttpClient,
+        brief: HttpClient,
         mode: RelayMode,
         own_room: int,
         zones: dict[NodeName, str],
         report_s: Seconds,
         peers: Callable[[], Iterable[RelayPeer]],
     ) -> None:
-        """`own_room`: how many workers this node's own sockets allow; `zones`: where the peers are; `report_s`: how
-        often workers report; `peers`: those heard lately."""
+        """`http` keeps its connections to workers, `brief` does not: it is used once relays are. `own_room`: how many
+        workers this node's own sockets allow; `zones`: where the peers are; `report_s`: how often workers report;
+        `peers`: those heard lately."""
         self._clock = clock
         self._node = node
         self._token = token
         self._link = link
         self._post_here = direct_post(http)
+        self._post_briefly = direct_post(brief)
         self._mode = mode
         self._own_room = own_room
         self._zones = zones
@@ -221,7 +224,7 @@
         assert machine.addr is not None
         relay = self.assignment.relay_of(machine.id)
         if relay is None or relay not in self.assignment.relays:
-            return await self._post_here(machine, body)
+            return await (self._post_briefly if self._wanted else self._post_here)(machine, body)
         return await self._post_through(relay, machine.addr, body)
 
     async def _post_through(self, relay: NodeName, address: Address, body: bytes) -> Reply:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -218,13 +218,13 @@
 
 class Pool:
     def __init__(self, mode=RelayMode.ALWAYS, own_room=10, rooms=(100, 100)):
-        self.clock, self.link, self.here = Clock(), RelayLink(), Workers()
+        self.clock, self.link, self.here, self.brief = Clock(), RelayLink(), Workers(), Workers()
         self.clock.advance(1000.0)
         self.peers = [Peer(NodeName(f"n{number + 1}"), room) for number, room in enumerate(rooms)]
         zones = {NodeName("n1"): "east", NodeName("n2"): "west"}
         self.roster = Roster(TOKEN)
         self.pool = RelayPool(
-            self.clock, LEADER, TOKEN, self.link, self.here, mode, own_room, zones, 4.0, lambda: self.peers
+            self.clock, LEADER, TOKEN, self.link, self.here, self.brief, mode, own_room, zones, 4.0, lambda: self.peers
         )
         self.pool.serves(self.roster)
         self.pool.grant()
@@ -305,7 +305,7 @@
     box = []
     Deferred.fromCoroutine(leader.pool.post(machine, b"{}")).addBoth(box.append)
     assert box == [told] if isinstance(told, Reply) else box[0].check(told)
-    assert leader.here.called == 0
+    assert leader.here.called == leader.brief.called == 0
 
 
 def test_without_its_relay_commands_go_from_here():
@@ -315,7 +315,13 @@
     leader.link.away.add("n1")
     leader.pool.grant()
     Deferred.fromCoroutine(leader.pool.post(machine, b"{}"))
-    assert leader.here.called == 1
+    assert (leader.here.called, leader.brief.called) == (0, 1), "no connection is kept where sockets are short"
+
+
+def test_without_relays_a_leader_keeps_its_connections():
+    leader = Pool(RelayMode.AUTO)
+    Deferred.fromCoroutine(leader.pool.post(leader.machine(), b"{}"))
+    assert (leader.here.called, leader.brief.called) == (1, 0)
 
 
 MODES = [
