A node keeps sockets back for what it asks itself

Two causes: workers of the stand-in kept connections to nodes that had sent them on, against the protocol; and a node gave its last sockets to whoever connected, so that it could not reach the state service. Change: a node serves connections on 0.85 of its sockets and closes what is more; hollow workers close theirs when sent on; a connection for commands is closed after 1 s.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -16,6 +16,7 @@
     DEFAULT_OPERATOR_FILE,
     SOCKETS_ALONE,
     SOCKETS_RELAYED,
+    SOCKETS_SERVED,
     Operator,
     RelayMode,
     Settings,
@@ -461,7 +462,8 @@
         from meadowcross.replica.hints import TELL_S
 
         host, _, port = self._settings.api_addr.rpartition(":")
-        self._reactor.listenTCP(int(port), api_factory(self.router, self._reactor), interface=host, backlog=512)
+        factory = api_factory(self.router, self._reactor, most=workers_served(self._settings, SOCKETS_SERVED))
+        self._reactor.listenTCP(int(port), factory, interface=host, backlog=512)
         self.link.start(self._reactor, self._settings.peer_bind)
         self._reactor.callLater(PREPARE_S, self._prepare)
         Deferred.fromCoroutine(self.catalog.run())
--- a/meadowcross/common/http.py
+++ b/meadowcross/common/http.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import HostnameEndpoint
 from twisted.internet.protocol import Protocol as Receiver
+from twisted.internet.protocol import connectionDone
 from twisted.web import http
 from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, ResponseDone
 from twisted.web.http_headers import Headers
@@ -25,7 +26,7 @@
 MAX_BODY = 64 * 1024
 MAX_DROPPED = 1024 * 1024
 KEEP_OPEN_S = 90
-BRIEFLY_OPEN_S = 2
+BRIEFLY_OPEN_S = 1
 """For many peers that are seldom asked, where sockets are short: a connection serves a burst, and is closed."""
 MAX_ENDPOINTS = 5_000
 
@@ -284,7 +285,22 @@
     def __call__(self, request: ApiRequest, path: str, body: bytes) -> Answer | None: ...
 
 
-def api_factory(router: Router, reactor: Any, guard: Guard | None = None) -> http.HTTPFactory:
+class BoundedFactory(http.HTTPFactory):
+    """Serves so many connections at a time, and closes what is more as it comes. A node whose last sockets went to
+    workers could not reach the state service any more, and lost its hold."""
+
+    most: int | None = None
+    open_now = 0
+
+    def buildProtocol(self, addr: Any) -> Any:
+        if self.most is not None and self.open_now >= self.most:
+            return None
+        return super().buildProtocol(addr)
+
+
+def api_factory(router: Router, reactor: Any, guard: Guard | None = None, most: int | None = None) -> http.HTTPFactory:
+    """`most` connections at a time; None: as many as the process may hold."""
+
     class RoutedRequest(ApiRequest):
         pass
 
@@ -295,7 +311,16 @@
     class Channel(http.HTTPChannel):
         requestFactory = RoutedRequest  # type: ignore[assignment]
 
-    factory = http.HTTPFactory(timeout=KEEP_OPEN_S, reactor=reactor)
+        def connectionMade(self) -> None:
+            factory.open_now += 1
+            super().connectionMade()
+
+        def connectionLost(self, reason: Any = connectionDone) -> None:
+            factory.open_now -= 1
+            super().connectionLost(reason)
+
+    factory = BoundedFactory(timeout=KEEP_OPEN_S, reactor=reactor)
+    factory.most = most
     factory.protocol = Channel  # type: ignore[assignment]
     factory.log = lambda request: None  # type: ignore[method-assign]
     return factory
--- a/meadowcross/common/settings.py
+++ b/meadowcross/common/settings.py
@@ -140,6 +140,8 @@
 """Of a leader's sockets, the workers that it serves by itself: each takes one for its reports and one for commands."""
 SOCKETS_RELAYED = 0.75
 """Of a relay's, which keeps no connection for commands; some are for those that come by, users and peers."""
+SOCKETS_SERVED = 0.85
+"""Of any node's, those for whoever connects to it; the others are for the state service, the cloud and commands."""
 UNBOUNDED_WORKERS = 1_000_000
 
 
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -15,6 +15,7 @@
 from scale.events import Commanded, LeaseEnded, Recorder, TaskOff, TaskOn, TokenSeen
 from scale.hosts import Host, RealTime
 
+OK = 200
 LONGEST_MS = 60_000
 DIGITS = 2
 
@@ -46,6 +47,9 @@
         except Exception:
             traffic.unanswered += 1
             raise
+        if reply.status != OK:
+            # It goes to another node, and keeps no connection to this one (the protocol).
+            self._pool.closeCachedConnections()
         traffic.received_bytes += len(reply.body)
         traffic.answers.record_value(max(1, min(LONGEST_MS, round(1000 * (self._seconds() - began)))))
         return reply
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -6,8 +6,12 @@
 
 import pytest
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
-from meadowcross.common.http import MAX_BODY, Answer
+from meadowcross.common.http import MAX_BODY, Answer, Router, api_factory
 from meadowcross.common.types import NodeName, Token
 from meadowcross.jobs.api import MAX_OPEN_REQUESTS, Trust
 from meadowcross.jobs.lookup import MAX_AWAITED
@@ -257,3 +261,13 @@
     assert [a.status for a in answers].count(404) >= MAX_OPEN_REQUESTS - 1
     # All that was open is closed again.
     assert world.run(api._guarded("query")(b"", "wk-000001")).status == 200 and not +api._open
+
+
+def test_a_node_keeps_sockets_back_for_what_it_asks_itself():
+    factory = api_factory(Router(), Clock(), most=2)
+    first, second = (factory.buildProtocol(None) for _ in range(2))
+    for channel in (first, second):
+        channel.makeConnection(StringTransport())
+    assert factory.buildProtocol(None) is None, "closed as it comes"
+    first.connectionLost(Failure(ConnectionDone()))
+    assert factory.buildProtocol(None) is not None
