A new leader loads its picture in slices

Change: machines, jobs and chunks are taken in some ten milliseconds at a time, so that renewals and reports go between.

--- a/meadowcross/leadership/term_loading.py
+++ b/meadowcross/leadership/term_loading.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import AsyncIterator, Sequence
+from typing import TypeVar
+
 import msgspec
 from twisted.internet.defer import Deferred
 
@@ -39,6 +42,13 @@
 ESTIMATES_AFTER_S: Seconds = 3.0
 
 
+MACHINES_A_SLICE = 500
+JOBS_A_SLICE = 50
+CHUNKS_A_SLICE = 5
+"""Each some ten milliseconds of work."""
+T = TypeVar("T")
+
+
 class Loading(TermBase):
     """Loads machines, jobs and placements, follows open jobs, and tells peers what only a leader knows."""
 
@@ -117,7 +127,7 @@
     async def _load(self) -> Mark:
         machines, jobs, chunks, revision = await self._picture()
         now = self.now
-        for item in machines:
+        async for item in self._in_slices(machines, MACHINES_A_SLICE):
             record = fm.decode_record(item.value)
             kind = MachineKind(record.type, record.zone, record.spot)
             machine = self.add_machine(MachineId(item.key.removeprefix(fm.MACHINES)), kind)
@@ -125,9 +135,9 @@
             machine.rented_at = Instant(min(now, record.rented))
             machine.rented_known = True
             machine.stored = True
-        for item in jobs:
+        async for item in self._in_slices(jobs, JOBS_A_SLICE):
             self._job_seen(item.key, item.value, item.mark)
-        for item in chunks:
+        async for item in self._in_slices(chunks, CHUNKS_A_SLICE):
             job_id, chunk = jm.parse_chunk_key(item.key)
             job = self.book.jobs.get(job_id)
             if job is None:
@@ -139,7 +149,7 @@
                 placement = self.book.inherit(job, index, attempt, name, now)
                 machine = self.add_machine(MachineId(name), MachineKind("", "", False))
                 self.roster.attach(machine, placement, job.spec)
-        for job in list(self.book.jobs.values()):
+        async for job in self._in_slices(list(self.book.jobs.values()), JOBS_A_SLICE):
             self.book.rebuild_waiting(job)
             if job.is_gang and job.placed:
                 job.gang_attempt = max(p.attempt for p in job.placed.values())
@@ -148,6 +158,16 @@
                 self._clear(job)
         return revision
 
+    async def _in_slices(self, items: Sequence[T], size: int) -> AsyncIterator[T]:
+        """The items, with a turn of the loop after so many: 50,000 placements took a second and more at once, in which
+        no renewal went out, and the hold of a new leader ended before it had begun."""
+        for number, item in enumerate(items, 1):
+            if self._stopped:
+                return
+            yield item
+            if number % size == 0:
+                await pause(self._clock, 0.0)
+
     async def _prove(self) -> None:
         """Compare what was followed with the store, behind everything else. Each write is conditional, so a
         difference broke no rule yet; but nobody knows what else is wrong, so all is read anew by a new term."""
--- a/tests/test_term.py
+++ b/tests/test_term.py
@@ -4,10 +4,13 @@
 
 import json
 
+import msgspec
 import pytest
 
 from lab.standins import Worker
 from meadowcross.common.clock import pause
+from meadowcross.common.types import Address, WallTime
+from meadowcross.fleet import messages as fm
 
 
 def placed(world, chunk="t/wk-000001/00000"):
@@ -453,3 +456,21 @@
     term._store.get = slow
     world.run(term._reread(["j/wk-000001"]))
     assert lost == [] and term.book.jobs["wk-000001"].cancelled is not None
+
+
+def test_a_large_picture_is_loaded_in_slices(world):
+    """Renewals go out in between; loaded at once, 50,000 placements kept a new leader from them for a whole hold."""
+    record = msgspec.to_builtins(fm.MachineRecord("small", "east", True, WallTime(1.0), Address("10.0.0.1:9000")))
+    writes = [{"write": f"w/i-{number:06d}", "data": record} for number in range(2_000)]
+    for first in range(0, len(writes), 20):
+        world.state.transact({"if": [], "writes": writes[first : first + 20]})
+    turns: list[int] = []
+
+    def turn() -> None:
+        if world.term is None or not world.term.loaded:
+            turns.append(len(world.term.roster.machines) if world.term is not None else 0)
+            world.clock.callLater(0.0, turn)
+
+    turn()
+    world.lead()
+    assert len({count for count in turns if 0 < count < 2_000}) >= 3
