A silent worker of a relay is given the time to come by another way, however many are silent

Change: a machine under a relay is given up 11 s after it was heard, not 8 (a report each 4 s), 18 where most of the relay's are silent.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -160,7 +160,7 @@
                     reactor, node, token, self.link, http, brief, operator.relays,
                     workers_served(settings, SOCKETS_ALONE),
                     {NodeName(peer.host_name): peer.zone for peer in settings.peers}, facts.workers.report_s,
-                    self.link.fresh_beats,
+                    operator.silent_s, self.link.fresh_beats,
                 )
                 if operator.relays is not RelayMode.NEVER
                 else None
--- a/meadowcross/relay/pool.py
+++ b/meadowcross/relay/pool.py
@@ -33,6 +33,8 @@
 ANSWER_S: Seconds = 4.0
 NEXT_NODE_S: Seconds = 1.0
 """A worker waits so long for an answer, and then before it tries the next node (the protocol)."""
+MARGIN_S: Seconds = 1.0
+"""Between looks at the relays."""
 MOVES_PER_S = 200.0
 FORGIVE_S: Seconds = 30.0
 """A relay that did not serve a worker is tried for it again after so long."""
@@ -80,11 +82,12 @@
         own_room: int,
         zones: dict[NodeName, str],
         report_s: Seconds,
+        silent_s: Seconds,
         peers: Callable[[], Iterable[RelayPeer]],
     ) -> None:
         """`http` keeps its connections to workers, `brief` does not: it is used once relays are. `own_room`: how many
         workers this node's own sockets allow; `zones`: where the peers are; `report_s`: how often workers report;
-        `peers`: those heard lately."""
+        `silent_s`: after how long a silent one is given up; `peers`: those heard lately."""
         self._clock = clock
         self._node = node
         self._token = token
@@ -96,6 +99,7 @@
         self._zones = zones
         self._window_s = heard_window(report_s) + RENEW_EVERY_S
         self._move_s = 1.25 * report_s + ANSWER_S + NEXT_NODE_S
+        self._late_s = max(0.0, self._move_s + MARGIN_S - silent_s)
         self._peers = peers
         self._roster: Roster | None = None
         self._wanted = mode is RelayMode.ALWAYS
@@ -157,7 +161,8 @@
 
     def _excuse_silent(self) -> None:
         """Where most workers of a relay are silent at once, it is the relay that they can't reach, or that we don't
-        hear through: they get the time to come by another way, counted from when they were heard last."""
+        hear through: they get the time to come by another way, counted from when they were heard last. Before that many
+        are silent the first would be given up, so that none is before it can have come."""
         if self._roster is None:
             return
         since = self.now - self._window_s
@@ -168,9 +173,9 @@
                 if (machine := self._roster.machines.get(name)) is not None and machine.heard_at is not None
             ]
             silent = [machine for machine in machines if (machine.heard_at or 0.0) < since]
-            if len(silent) * 2 > len(machines):
-                for machine in silent:
-                    machine.excused_until = Instant((machine.heard_at or 0.0) + self._move_s)
+            excused_s = self._move_s if len(silent) * 2 > len(machines) else self._late_s
+            for machine in silent:
+                machine.excused_until = Instant((machine.heard_at or 0.0) + excused_s)
 
     # What relays say
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -224,7 +224,18 @@
         zones = {NodeName("n1"): "east", NodeName("n2"): "west"}
         self.roster = Roster(TOKEN)
         self.pool = RelayPool(
-            self.clock, LEADER, TOKEN, self.link, self.here, self.brief, mode, own_room, zones, 4.0, lambda: self.peers
+            self.clock,
+            LEADER,
+            TOKEN,
+            self.link,
+            self.here,
+            self.brief,
+            mode,
+            own_room,
+            zones,
+            4.0,
+            8.0,
+            lambda: self.peers,
         )
         self.pool.serves(self.roster)
         self.pool.grant()
@@ -439,3 +450,18 @@
 
 def test_versions_of_renewals_go_by_session_first():
     assert ReportVersion(2, 1) > ReportVersion(1, 99)
+
+
+def test_a_silent_worker_of_a_relay_is_given_the_time_to_come_by_another_way():
+    """Though the relay's others were heard: at its end they fall silent one after the other."""
+    leader = Pool()
+    first, *others = (leader.machine(f"i-{number:06d}") for number in range(4))
+    for machine in (first, *others):
+        leader.pool.assignment.settle(machine.id, NodeName("n1"))
+    heard = first.heard_at
+    leader.clock.advance(7.0)
+    for machine in others:
+        machine.heard_at = leader.clock.seconds()
+    leader.pool.grant()
+    assert first.excused_until == pytest.approx(heard + 1.25 * 4.0 + 4.0 + 1.0 + 1.0 - 8.0)
+    assert all(machine.excused_until == 0.0 for machine in others)
