Test: a row's watch has a field of its own

Cause: rows of the relays' lab tests were told apart by whether an attribute was there; a loop over one node. Change: a field, no loop.

--- a/tests/test_relay_lab.py
+++ b/tests/test_relay_lab.py
@@ -40,6 +40,8 @@
         scenario.jobs = [msgspec.convert({"team": "b", "memory_gb": 0.2} | one, Jobs) for one in jobs]
         self.lab = lab(scenario, seed)
         self.marks: list = []
+        self.patch: tuple | None = None
+        """Where the row watches, as class, name and function."""
 
     @property
     def pool(self) -> RelayPool:
@@ -97,8 +99,7 @@
         if due and now >= due[0] and b'"start"' in bytes(passed.body) and play.lab.nodes[self._node].relay is self:
             del due[0]
             play.marks.append(self._node)
-            for node in (self._node,):
-                play.lab.simulation.later(0.0016, lambda node=node: play.lab.kill(node, 5.0))
+            play.lab.simulation.later(0.0016, lambda: play.lab.kill(self._node, 5.0))
         return await relayed(self, passed)
 
     play.patch = (Relay, "commands", commands)
@@ -282,7 +283,7 @@
 @pytest.mark.parametrize(("make", "came", "may"), ROWS, ids=[row[0].__name__ for row in ROWS])
 def test_relays_keep_the_rules(monkeypatch, make, came, may):
     play = make()
-    if hasattr(play, "patch"):
+    if play.patch is not None:
         monkeypatch.setattr(*play.patch)
     assert signs_of(play, came) - may == set()
 
@@ -376,7 +377,7 @@
 def test_a_deliberate_fault_is_found(monkeypatch, fault, make, came, shown):
     fault(monkeypatch)
     play = make()
-    if hasattr(play, "patch"):
+    if play.patch is not None:
         monkeypatch.setattr(*play.patch)
     assert shown in signs_of(play, came)
 
