Relays: one way less by which a token is told, and a set for a set

Cause: read once more. A relay told the eras of higher tokens that its caller had told them already (`WorkerApi._relayed`, `on_beat`), and visitors kept times beside relayed machines that nobody read. Change: both removed; behaviour is the same.

--- a/meadowcross/app.py
+++ b/meadowcross/app.py
@@ -345,7 +345,7 @@
 
         cancels = Cancels(reactor, current_term, known_leader, lambda *told: self.link.ask_cancels(*told))
         hearer = Hearer(reactor, same, lambda leader: self.link.tell(HintsWanted(node), leader))
-        self.relay = Relay(reactor, node, lambda: self.link, brief, eras.token_seen)
+        self.relay = Relay(reactor, node, lambda: self.link, brief)
         self.link = PeerLink(
             reactor,
             settings.peers,
--- a/meadowcross/relay/relay.py
+++ b/meadowcross/relay/relay.py
@@ -70,14 +70,11 @@
         node: NodeName,
         link: Callable[[], Link],
         http: HttpClient,
-        on_higher: Callable[[Token], None],
     ) -> None:
-        """`on_higher` is told of tokens above the grant's, seen in a report or an answer."""
         self._clock = clock
         self._node = node
         self._link = link
         self._http = http
-        self._on_higher = on_higher
         self._grant: m.Grant | None = None
         self._until = Instant(0.0)
         self._highest = Token(0)
@@ -123,7 +120,6 @@
             self._highest = token
             if self._grant is not None:
                 log.info("relays for %s no more: token %d was seen", self._grant.node, token)
-                self._on_higher(token)
 
     def resend(self, wanted: m.ResendWanted) -> None:
         """The leader wants the next reports of these machines whole."""
--- a/meadowcross/workers/visitors.py
+++ b/meadowcross/workers/visitors.py
@@ -25,7 +25,7 @@
         self._clock = clock
         self._window = window
         self._came: dict[MachineId, Instant] = {}
-        self._relayed: dict[MachineId, Instant] = {}
+        self._relayed: set[MachineId] = set()
         """Of those, the ones that report here as the leader lets us answer them; that they come tells nothing new."""
         self._last: dict[MachineId, tuple[Instant, ReportVersion]] = {}
 
@@ -40,9 +40,9 @@
         if newest:
             self._came.pop(machine, None)
             self._came[machine] = now
-            self._relayed.pop(machine, None)
+            self._relayed.discard(machine)
             if relayed:
-                self._relayed[machine] = now
+                self._relayed.add(machine)
 
     def _forget(self, now: Instant) -> None:
         while self._last:
@@ -62,5 +62,5 @@
             if at >= oldest:
                 break
             del self._came[machine]
-            self._relayed.pop(machine, None)
+            self._relayed.discard(machine)
         return len(self._came)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -69,8 +69,7 @@
     def __init__(self):
         self.clock, self.link, self.workers = Clock(), LeaderLink(), Workers()
         self.clock.advance(1000.0)
-        self.higher: list[int] = []
-        self.relay = Relay(self.clock, NodeName("n1"), lambda: self.link, self.workers, self.higher.append)
+        self.relay = Relay(self.clock, NodeName("n1"), lambda: self.link, self.workers)
 
     def granted(self, token=TOKEN):
         self.relay.take_grant(m.Grant(LEADER, token, GRANT_S))
