--- a/review/3/case.py
+++ b/review/3/case.py
@@ -11,7 +11,7 @@
 
 LONGEST_WAIT_S = 90.0
 """No job is left waiting for 90 s while a machine that fits has room (LATER.md of the hunt)."""
-SICK_S = 6.0
+SICK_S = 4.0
 CAPACITY = {
     ("till", "taff", False): 5,
     ("till", "taff", True): 40,
@@ -26,7 +26,7 @@
     """Run a job on the only grandstand of menai, make the machine sick for one task, and submit another job."""
     await cluster.start(CAPACITY)
     bound = {"builds": ["grandstand"], "field": "menai"}
-    accepted = await cluster.submit(job(1, **bound), run_s=4.0)
+    accepted = await cluster.submit(job(1, **bound), run_s=2.0)
 
     async def first_is_done() -> bool:
         return await cluster.standing("wk-000001") == "done"
