Counts of tasks that fit are bounded, so that no job's amount is infinite

Hypotheses: (1) a division by the amount overflows in work that all jobs share; (2) the job's record blocks the group commit; (3) the job counts against its team's limit without bound.

Cause: a quotient of two amounts was converted to an integer without a bound. The same form stood in four places (guarantee, limit of CPUs, limit of GPUs, tasks that fit on a machine), and two more computed with other amounts: - checkpointed progress was `run // interval * interval`, which is infinite for a very short interval; with learned run times each forecast of the task's end then failed for all jobs; - learned ratios were the run time over the owner's guess as stated; a guess near 0 gave ratios of 1e9 to the class, the team and all work, so that a new job of the team was expected to take 1e10 s.

Change: `bounded_count` rounds such a quotient down, from 0 to `UNBOUNDED_TASKS`. A negative free amount counts as room for no task; it was counted as additional demand before. Progress is the run less a remainder, which is finite. Ratios use the guess that predictions use, at least `MIN_RUN_S`. No amount that was accepted is refused.

--- a/meadowcross/estimates/run_time_model.py
+++ b/meadowcross/estimates/run_time_model.py
@@ -109,6 +109,11 @@
     job_id: str
     """Empty if it is not known."""
 
+    @property
+    def ratio_base_s(self) -> Seconds:
+        """The guess, at least `MIN_RUN_S`, to which run times are compared; 0 if there is no guess."""
+        return max(self.guess_s, MIN_RUN_S) if self.guess_s > 0 else 0.0
+
 
 @lru_cache(maxsize=4096)
 def shape_name(cpus: float, gpus: float, memory_gb: float) -> str:
@@ -325,7 +330,7 @@
             if len(self._class_cache) >= MAX_JOBS:
                 self._class_cache.clear()
             cached = self._class_cache[key] = (now, *self._compute_levels(features, has_guess))
-        log_guess = log(max(features.guess_s, MIN_RUN_S)) if has_guess else 0.0
+        log_guess = log(features.ratio_base_s) if has_guess else 0.0
         _, level, subgroup_level = cached
         return (
             level.log_mean + level.guess_share * log_guess,
@@ -471,16 +476,17 @@
         for name in (m.ALL_WORK, m.team_entry_name(features.team), m.class_entry_name(features.job_class)):
             entry = self._get_or_create_entry(name)
             entry.sample_count += weight
-            if features.guess_s > 0:
+            if features.ratio_base_s > 0:
                 if name.startswith("c/") and entry.ratio.weight >= 3 and entry.time.weight >= 3:
                     keep = min(ERROR_DECAY, 1 - 1 / (entry.sample_count + 1)) ** weight
                     ratio_error = min(
-                        MAX_LOG_ERROR, abs(log(run_s / features.guess_s) - entry.ratio.log_quantiles()[MEDIAN_INDEX])
+                        MAX_LOG_ERROR,
+                        abs(log(run_s / features.ratio_base_s) - entry.ratio.log_quantiles()[MEDIAN_INDEX]),
                     )
                     time_error = min(MAX_LOG_ERROR, abs(log(run_s) - entry.time.log_quantiles()[MEDIAN_INDEX]))
                     entry.ratio_error += (1 - keep) * (ratio_error - entry.ratio_error)
                     entry.time_error += (1 - keep) * (time_error - entry.time_error)
-                entry.ratio.add(run_s / features.guess_s, weight)
+                entry.ratio.add(run_s / features.ratio_base_s, weight)
             entry.time.add(run_s, weight)
             self.unsaved[name] = self.unsaved.get(name, 0.0) + weight
 
--- a/meadowcross/estimates/samples.py
+++ b/meadowcross/estimates/samples.py
@@ -82,10 +82,9 @@
             learner.on_interrupted(job.spec, run_s)
         spec = job.spec
         if spec.checkpoint_interval_s > 0 and is_run_fully_observed(job, placement):
-            progress_s = (
-                run_s if has_saved_progress else run_s // spec.checkpoint_interval_s * spec.checkpoint_interval_s
-            )
-            job.checkpointed_progress[placement.task.number] = progress_s
+            # Not `//`: its quotient is infinite for a very short interval, a remainder is always finite.
+            lost_s = 0.0 if has_saved_progress else run_s % spec.checkpoint_interval_s
+            job.checkpointed_progress[placement.task.number] = run_s - lost_s
 
     def update_running(self, job_table: JobTable, now: Instant) -> None:
         """Report how long all running tasks have lasted, so that overdue runs count before they end."""
--- a/meadowcross/leadership/scheduling_view.py
+++ b/meadowcross/leadership/scheduling_view.py
@@ -19,7 +19,13 @@
 from meadowcross.jobs.objectives import ServiceLevelObjectives, slack
 from meadowcross.leadership.reachability import Reachability
 from meadowcross.placement.descheduler import ServiceReplica
-from meadowcross.placement.model import Candidate, PendingJob, QuotaHeadroom, has_topology_constraints
+from meadowcross.placement.model import (
+    Candidate,
+    PendingJob,
+    QuotaHeadroom,
+    bounded_count,
+    has_topology_constraints,
+)
 from meadowcross.placement.scoring import SLOW_FETCH_S
 from meadowcross.placement.victims import Victim, mark_borrowed
 from meadowcross.workers.health import FailureTracker
@@ -271,7 +277,7 @@
         elapsed_s = shared.now - job.submitted_at
         if job.deadlines is None:
             job.deadlines = self._objectives.deadlines(spec)
-        guaranteed_tasks = max(0, int(shared.guarantees_left[spec.team] / spec.cpus))
+        guaranteed_tasks = bounded_count(shared.guarantees_left[spec.team] / spec.cpus)
         is_probing = job.is_probing
         is_starved = elapsed_s > STARVATION_S and not job.has_placed
         is_limited_to_one_task = (is_probing or (is_starved and spec.kind is JobKind.ARRAY)) and not job.is_gang
--- a/meadowcross/placement/model.py
+++ b/meadowcross/placement/model.py
@@ -16,6 +16,14 @@
 """A headroom of at least this amount (CPUs or GPUs) means that the team has no limit."""
 
 
+def bounded_count(quotient: float) -> int:
+    """Return the quotient of two amounts rounded down to a number of tasks, from 0 to `UNBOUNDED_TASKS`.
+
+    Jobs may state any positive amount, so the quotient may be infinite, or too large to be converted back to a float.
+    """
+    return int(min(max(quotient, 0.0), UNBOUNDED_TASKS))
+
+
 @dataclass(slots=True)
 class Candidate:
     """A schedulable machine and its free resources.
@@ -104,10 +112,10 @@
         """Return how many more tasks of the job the quota allows; `UNBOUNDED_TASKS` without a limit."""
         limit = UNBOUNDED_TASKS
         if spec.cpus > 0 and self.cpus < UNLIMITED_QUOTA:
-            limit = min(limit, int((self.cpus + EPSILON) / spec.cpus))
+            limit = min(limit, bounded_count((self.cpus + EPSILON) / spec.cpus))
         if spec.gpus > 0 and self.gpus < UNLIMITED_QUOTA:
-            limit = min(limit, int((self.gpus + EPSILON) / spec.gpus))
-        return max(0, limit)
+            limit = min(limit, bounded_count((self.gpus + EPSILON) / spec.gpus))
+        return limit
 
     def consume(self, spec: JobSpec, count: int) -> None:
         """Subtract the quota of `count` tasks of the job."""
@@ -195,4 +203,4 @@
         limit = min(limit, gpus / spec.gpus)
     if spec.memory_gb > 0:
         limit = min(limit, memory_gb / spec.memory_gb)
-    return int(limit + EPSILON)
+    return bounded_count(limit + EPSILON)
