--- a/meadowcross/autoscaling/autoscaler.py
+++ b/meadowcross/autoscaling/autoscaler.py
@@ -20,14 +20,12 @@
 from meadowcross.autoscaling.scale_in import ScaleIn
 from meadowcross.autoscaling.scale_out import ScaleOut
 from meadowcross.common.clock import Clock
-from meadowcross.common.logging import get_logger
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.settings import OperatorSettings, Settings
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds
 from meadowcross.jobs.objectives import may_wait_for_cheaper_capacity
 from meadowcross.workers.machine import Machine
 
-log = get_logger("fleet")
-
 TICK_INTERVAL_S: Seconds = 1.0
 
 
@@ -133,17 +131,23 @@
         self._decommissioner.decommission(machine, reason)
 
     def _on_tick(self) -> None:
-        try:
-            if not self._host.has_valid_lease():
-                # Another node may lead and receive the heartbeats: without heartbeats here, machines may still be busy.
-                return
+        """Run all steps; one that fails does not keep the others from running, and is tried again at the next tick."""
+        if not self._host.has_valid_lease():
+            # Another node may lead and receive the heartbeats: without heartbeats here, machines may still be busy.
+            return
+        with ErrorBoundary("computing demands") as demand_boundary:
             self._demand.update_expensive_kinds()
             self._demand.update()
+        with ErrorBoundary("checking machines"):
             self._machine_checker.check()
-            self._scale_in.run()
+        # Without the demands, machines that jobs wait for would count as idle.
+        if not demand_boundary.has_failed:
+            with ErrorBoundary("scaling in"):
+                self._scale_in.run()
+        with ErrorBoundary("deleting machines"):
             self._decommissioner.delete_decommissioned()
-            self._scale_out.run()
+        if not demand_boundary.has_failed:
+            with ErrorBoundary("scaling out"):
+                self._scale_out.run()
+        with ErrorBoundary("reading the machine list"):
             self._machine_list.refresh_if_due()
-        except Exception:
-            # The next tick tries again.
-            log.exception("autoscaler tick failed")
--- a/meadowcross/autoscaling/demand.py
+++ b/meadowcross/autoscaling/demand.py
@@ -5,9 +5,10 @@
 from meadowcross.autoscaling.context import AutoscalerContext
 from meadowcross.autoscaling.machine_kinds import find_expensive_kinds, requires_expensive_kind
 from meadowcross.autoscaling.sizing import CapacityDemand, mark_at_risk
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.types import MachineKind, Seconds
 from meadowcross.jobs.messages import JobSpec
-from meadowcross.placement.model import queue_order
+from meadowcross.placement.model import PendingJob, QuotaHeadroom, queue_order
 
 
 class DemandTracker:
@@ -43,16 +44,12 @@
         self.demands = []
         slacks_s: list[Seconds] = []
         for pending_job in sorted(view.pending_jobs(), key=queue_order):
-            spec, headroom = pending_job.spec, headroom_by_team[pending_job.spec.team]
-            count = min(pending_job.task_count, headroom.max_tasks(spec))
-            headroom.consume(spec, count)
-            if count:
-                placed_by_zone = pending_job.count_siblings_by_zone()
-                self.demands.append(
-                    CapacityDemand(spec, count, pending_job.expected_run_s, placed_by_zone=placed_by_zone)
-                )
-                # A late start counts like a late end: expensive machines may be used for either objective.
-                slacks_s.append(min(pending_job.slack_s, pending_job.start_slack_s))
+            with ErrorBoundary("computing demand", job=pending_job.job_id):
+                demand = _demand_of(pending_job, headroom_by_team[pending_job.spec.team])
+                if demand is not None:
+                    self.demands.append(demand)
+                    # A late start counts like a late end: expensive machines may be used for either objective.
+                    slacks_s.append(min(pending_job.slack_s, pending_job.start_slack_s))
         shortest_boot_s = min(
             (context.expected_boot_s(machine_type) for machine_type in context.machine_types()), default=0.0
         )
@@ -69,3 +66,13 @@
     def import_at_risk_age(self, age_s: Seconds) -> None:
         """Import the time since the previous leader had a demand at risk."""
         self.last_at_risk_at = max(self.last_at_risk_at, self._context.now - age_s)
+
+
+def _demand_of(pending_job: PendingJob, headroom: QuotaHeadroom) -> CapacityDemand | None:
+    """Return the job's demand within its team's quota, which it uses up; None if the quota allows no task."""
+    count = min(pending_job.task_count, headroom.max_tasks(pending_job.spec))
+    headroom.consume(pending_job.spec, count)
+    if count == 0:
+        return None
+    placed_by_zone = pending_job.count_siblings_by_zone()
+    return CapacityDemand(pending_job.spec, count, pending_job.expected_run_s, placed_by_zone=placed_by_zone)
--- a/meadowcross/autoscaling/incoming_capacity.py
+++ b/meadowcross/autoscaling/incoming_capacity.py
@@ -11,6 +11,7 @@
 from meadowcross.autoscaling.boot_times import BootTimeEstimator
 from meadowcross.autoscaling.messages import MachineType
 from meadowcross.autoscaling.sizing import IncomingCapacity, ScaleOutRequest
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.types import Instant, MachineId, Seconds
 from meadowcross.estimates.estimators import CAUTIOUS_QUANTILE, RunTimeEstimator
 from meadowcross.estimates.samples import elapsed_run_s
@@ -68,21 +69,24 @@
             or forecast.change_count != machine.change_count
             or now - forecast.computed_at > FORECAST_MAX_AGE_S
         ):
-            completions = sorted(self._forecast(machine, now), key=lambda completion: completion.ends_at)
+            completions = sorted(self._list_completions(machine, now), key=lambda completion: completion.ends_at)
             forecast = self._cache[machine.id] = _Forecast(machine.change_count, now, completions)
         for completion in forecast.completions:
             if completion.ends_at >= deadline:
                 return
             yield completion.spec
 
-    def _forecast(self, machine: Machine, now: Instant) -> Iterator[_Completion]:
+    def _list_completions(self, machine: Machine, now: Instant) -> list[_Completion]:
+        completions: list[_Completion] = []
         for placement in machine.placements.values():
             job = self._job_table.jobs.get(placement.task.job)
             if job is not None and placement.phase is PlacementPhase.RUNNING and placement.running_at is not None:
-                remaining_s = self._run_time_estimator.remaining_time(
-                    job.spec, elapsed_run_s(job, placement, now), CAUTIOUS_QUANTILE
-                )
-                yield _Completion(Instant(now + remaining_s), job.spec)
+                with ErrorBoundary("forecasting the end of a task", job=job.id):
+                    remaining_s = self._run_time_estimator.remaining_time(
+                        job.spec, elapsed_run_s(job, placement, now), CAUTIOUS_QUANTILE
+                    )
+                    completions.append(_Completion(Instant(now + remaining_s), job.spec))
+        return completions
 
     def forget(self, machine: MachineId) -> None:
         """Drop the forecast of a deleted machine."""
--- a/meadowcross/autoscaling/machine_checks.py
+++ b/meadowcross/autoscaling/machine_checks.py
@@ -9,6 +9,7 @@
 from meadowcross.autoscaling.decommissioning import Decommissioner
 from meadowcross.autoscaling.machine_list import LIST_LAG_FACTOR
 from meadowcross.autoscaling.silence_timeouts import silence_timeout_by_zone
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.types import Instant, Seconds
 from meadowcross.workers.machine import Machine
 
@@ -39,12 +40,16 @@
                 continue
             if may_skip_reporting and machine.contact.unresponsive_since is None and is_reporting(machine):
                 continue
-            if machine.is_up or machine.contact.hinted_contact_at is not None:
-                self._check_contacted(machine, timeouts[machine.kind.zone])
-            elif machine.placements or machine.address is not None:
-                self._check_inherited(machine)
-            else:
-                self._check_booting(machine)
+            with ErrorBoundary("checking a machine", machine=machine.id):
+                self._check_machine(machine, timeouts)
+
+    def _check_machine(self, machine: Machine, timeouts: dict[str, Seconds]) -> None:
+        if machine.is_up or machine.contact.hinted_contact_at is not None:
+            self._check_contacted(machine, timeouts[machine.kind.zone])
+        elif machine.placements or machine.address is not None:
+            self._check_inherited(machine)
+        else:
+            self._check_booting(machine)
 
     def _silence_timeouts(self, is_reporting: Callable[[Machine], bool]) -> dict[str, Seconds]:
         """Return the silence timeout by zone."""
--- a/meadowcross/autoscaling/machine_list.py
+++ b/meadowcross/autoscaling/machine_list.py
@@ -8,6 +8,7 @@
 from meadowcross.autoscaling.context import AutoscalerContext
 from meadowcross.autoscaling.decommissioning import Decommissioner
 from meadowcross.autoscaling.messages import ListedMachine
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Instant, MachineId
 
@@ -64,7 +65,8 @@
                 # The creation time of the machine and its age in the list give the instant that the list describes.
                 described_at = Instant(max(described_at or 0.0, known_machine.created_at + listed_machine.age_s))
             if not self._decommissioner.is_deleted(listed_machine.id):
-                self._apply_machine(listed_machine, now)
+                with ErrorBoundary("applying a listed machine", machine=listed_machine.id):
+                    self._apply_machine(listed_machine, now)
         self._context.host.on_cloud_list(described_at)
         self._ever_listed_ids.update(listed_ids)
         self._decommission_vanished(listed_ids)
--- a/meadowcross/autoscaling/scale_in.py
+++ b/meadowcross/autoscaling/scale_in.py
@@ -8,6 +8,7 @@
 from meadowcross.autoscaling.machine_kinds import kind_price
 from meadowcross.autoscaling.sizing import MIN_CHARGE_S
 from meadowcross.autoscaling.surplus import MachineUsage, select_surplus_machines
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Seconds
 from meadowcross.jobs.messages import JobSpec
@@ -36,7 +37,8 @@
         self._update_draining()
         for machine in self._context.machines().values():
             if machine.is_up and not machine.placements and machine.decommission_reason is None:
-                self._decommission_if_idle(machine)
+                with ErrorBoundary("checking an idle machine", machine=machine.id):
+                    self._decommission_if_idle(machine)
 
     def _update_draining(self) -> None:
         """Drain surplus machines if no demand was recent, expensive ones if no demand at risk was recent, else none."""
@@ -71,7 +73,8 @@
                 machine.is_draining = not machine.is_draining
                 log.debug("draining changed machine=%s draining=%s", machine.id, machine.is_draining)
             if machine.is_draining:
-                self._evict_checkpointable(machine)
+                with ErrorBoundary("evicting tasks of a draining machine", machine=machine.id):
+                    self._evict_checkpointable(machine)
 
     def _evict_checkpointable(self, machine: Machine) -> None:
         host = self._context.host
--- a/meadowcross/autoscaling/sizing.py
+++ b/meadowcross/autoscaling/sizing.py
@@ -12,7 +12,8 @@
 
 from meadowcross.autoscaling.machine_kinds import kind_price, list_machine_kinds
 from meadowcross.autoscaling.messages import MachineType
-from meadowcross.common.types import EPSILON, MachineKind, Seconds
+from meadowcross.common.error_boundary import ErrorBoundary
+from meadowcross.common.types import EPSILON, JobId, MachineKind, Seconds
 from meadowcross.jobs.messages import JobSpec
 from meadowcross.placement.model import TaskShape, count_slots, is_kind_allowed, task_shape
 
@@ -197,15 +198,17 @@
     """
     plan = _ScaleOutPlan(incoming, machine_types, unavailable_kinds, expensive_kinds)
     available_kinds = [kind for kind, _ in list_machine_kinds(machine_types.values()) if kind not in unavailable_kinds]
-    zone_demands = [
-        zone_demand for demand in demands for zone_demand in split_by_zone(demand, incoming, available_kinds)
-    ]
+    zone_demands: list[CapacityDemand] = []
+    for demand in demands:
+        with ErrorBoundary("dividing demand by zone", job=JobId(demand.spec.id)):
+            zone_demands += split_by_zone(demand, incoming, available_kinds)
     demands_with_shapes = [(demand, task_shape(demand.spec)._replace(memory_gb=0.0)) for demand in zone_demands]
     least_memory_gb: dict[TaskShape, float] = {}
     for demand, shape in demands_with_shapes:
         least_memory_gb[shape] = min(demand.spec.memory_gb, least_memory_gb.get(shape, inf))
     for demand, shape in demands_with_shapes:
-        plan.add(demand, shape, least_memory_gb[shape])
+        with ErrorBoundary("planning machines", job=JobId(demand.spec.id)):
+            plan.add(demand, shape, least_memory_gb[shape])
     return plan.requests()
 
 
--- a/meadowcross/controller/controller.py
+++ b/meadowcross/controller/controller.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
+from meadowcross.common.error_boundary import contain_errors
 from meadowcross.common.http import build_api_factory
 from meadowcross.common.settings import INBOUND_SOCKET_SHARE, OperatorSettings, Settings, socket_allowance
 from meadowcross.common.types import Seconds
@@ -67,8 +68,8 @@
             Deferred.fromCoroutine(self._auditor.run())
             if services.operator.snapshot_directory:
                 self._start_snapshot_writer(self.follower)
-            self._start_loop(self.term_manager.publish_hints, PUBLISH_INTERVAL_S)
-        self._start_loop(self.term_manager.renew_relay_grants, HEARTBEAT_INTERVAL_S)
+            self._start_loop("publishing hints", self.term_manager.publish_hints, PUBLISH_INTERVAL_S)
+        self._start_loop("renewing relay grants", self.term_manager.renew_relay_grants, HEARTBEAT_INTERVAL_S)
         Deferred.fromCoroutine(self.election.run())
 
     def _listen(self) -> None:
@@ -78,8 +79,8 @@
         factory = build_api_factory(self.router, reactor, max_connections=max_connections)
         reactor.listenTCP(int(port), factory, interface=host, backlog=LISTEN_BACKLOG)
 
-    def _start_loop(self, function: Callable[[], None], interval_s: Seconds) -> None:
-        loop = LoopingCall(function)
+    def _start_loop(self, activity: str, function: Callable[[], None], interval_s: Seconds) -> None:
+        loop = LoopingCall(contain_errors(activity, function))
         loop.clock = self.services.reactor
         loop.start(interval_s, now=False)
 
--- a/meadowcross/estimates/estimate_storage.py
+++ b/meadowcross/estimates/estimate_storage.py
@@ -16,6 +16,7 @@
 from twisted.internet.task import LoopingCall
 
 from meadowcross.common.clock import Clock, pause
+from meadowcross.common.error_boundary import contain_errors
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Revision, Seconds
 from meadowcross.estimates import messages as m
@@ -68,7 +69,7 @@
         self._is_stopped = False
         self.is_loaded = False
         self.writes = 0
-        self._loop = LoopingCall(self._on_tick)
+        self._loop = LoopingCall(contain_errors("storing estimates", self._on_tick))
         self._loop.clock = clock  # type: ignore[assignment]
 
     def start(self) -> None:
--- a/meadowcross/estimates/run_time_model.py
+++ b/meadowcross/estimates/run_time_model.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from meadowcross.common.clock import Clock
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import JobId, MachineId, Seconds
 from meadowcross.estimates import messages as m
@@ -559,25 +560,29 @@
         class_overdue: dict[str, list[tuple[float, float]]] = {}
         with self._lock:
             for spec, elapsed_s in running:
-                job = self._jobs.get(spec.id)
-                log_quantiles = self._apply_job_samples(
-                    self._expected(features_of(spec))[1], job, self._find_entry(m.class_entry_name(spec.job_class))
-                )
-                threshold_s = max(MIN_RUN_S, exp(log_quantiles[QUANTILES.index(OVERDUE_QUANTILE)]))
-                overdue_s = [run_s for run_s in elapsed_s if run_s > threshold_s]
-                if job is not None:
-                    job.overdue = [
-                        (log(run_s) - log_quantiles[MEDIAN_INDEX], 1.0)
-                        for run_s in sorted(overdue_s)[:MAX_OVERDUE_TASKS]
-                    ]
-                elif overdue_s:
-                    # As with samples, similar tasks of one job count for little more than one task.
-                    weight = sum(1.0 / (i + 1) for i in range(min(len(overdue_s), 100)))
-                    log_excess = log(sorted(overdue_s)[len(overdue_s) // 2]) - log_quantiles[MEDIAN_INDEX]
-                    class_overdue.setdefault(m.class_entry_name(spec.job_class), []).append((log_excess, weight))
+                with ErrorBoundary("finding overdue runs", job=JobId(spec.id)):
+                    self._update_overdue(spec, elapsed_s, class_overdue)
             for name, entry in self._entries.items():
                 entry.overdue = sorted(class_overdue.get(name, []))
 
+    def _update_overdue(
+        self, spec: JobSpec, elapsed_s: list[Seconds], class_overdue: dict[str, list[tuple[float, float]]]
+    ) -> None:
+        """Set the job's overdue runs; those of a job without samples are added to its class in `class_overdue`."""
+        job = self._jobs.get(spec.id)
+        entry_name = m.class_entry_name(spec.job_class)
+        log_quantiles = self._apply_job_samples(self._expected(features_of(spec))[1], job, self._find_entry(entry_name))
+        threshold_s = max(MIN_RUN_S, exp(log_quantiles[QUANTILES.index(OVERDUE_QUANTILE)]))
+        overdue_s = sorted(run_s for run_s in elapsed_s if run_s > threshold_s)
+        if job is not None:
+            log_median = log_quantiles[MEDIAN_INDEX]
+            job.overdue = [(log(run_s) - log_median, 1.0) for run_s in overdue_s[:MAX_OVERDUE_TASKS]]
+        elif overdue_s:
+            # As with samples, similar tasks of one job count for little more than one task.
+            weight = sum(1.0 / (i + 1) for i in range(min(len(overdue_s), 100)))
+            log_excess = log(overdue_s[len(overdue_s) // 2]) - log_quantiles[MEDIAN_INDEX]
+            class_overdue.setdefault(entry_name, []).append((log_excess, weight))
+
     def drop_job(self, job_id: JobId) -> None:
         """Drop the samples of a job that has ended."""
         with self._lock:
--- a/meadowcross/estimates/samples.py
+++ b/meadowcross/estimates/samples.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.types import Instant, MachineId, Seconds
 from meadowcross.estimates.estimators import RunTimeEstimator
 from meadowcross.jobs.job_table import Job, JobTable, Placement, PlacementPhase
@@ -63,10 +64,11 @@
             # minutes once made all runs behind it look minutes longer.
             return
         for learner in self._learners:
-            if machine.is_healthy and is_run_fully_observed(job, placement):
-                learner.on_completed(job.spec, run_s, machine.machine_id, machine.machine_type)
-            elif machine.is_healthy:
-                learner.on_interrupted(job.spec, run_s)
+            with ErrorBoundary("learning from a completed task", job=job.id):
+                if machine.is_healthy and is_run_fully_observed(job, placement):
+                    learner.on_completed(job.spec, run_s, machine.machine_id, machine.machine_type)
+                elif machine.is_healthy:
+                    learner.on_interrupted(job.spec, run_s)
 
     def on_task_interrupted(
         self, job: Job, placement: Placement, has_saved_progress: bool, last_contact_at: Instant | None, now: Instant
@@ -79,7 +81,8 @@
         ended_at = now if last_contact_at is None else Instant(min(now, max(last_contact_at, placement.running_at)))
         run_s = elapsed_run_s(job, placement, ended_at)
         for learner in self._learners:
-            learner.on_interrupted(job.spec, run_s)
+            with ErrorBoundary("learning from an interrupted task", job=job.id):
+                learner.on_interrupted(job.spec, run_s)
         spec = job.spec
         if spec.checkpoint_interval_s > 0 and is_run_fully_observed(job, placement):
             # Not `//`: its quotient is infinite for a very short interval, a remainder is always finite.
--- a/meadowcross/leadership/completion_forecaster.py
+++ b/meadowcross/leadership/completion_forecaster.py
@@ -15,6 +15,7 @@
 from meadowcross.autoscaling.machine_kinds import list_machine_kinds
 from meadowcross.autoscaling.messages import MachineType
 from meadowcross.common.clock import Clock
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Instant, JobId, MachineKind, Seconds
 from meadowcross.estimates.completion_time import CompletionForecast, RemainingWork, median_completion_s
@@ -246,10 +247,14 @@
             stage = self._stage_of(job)
             recorded = self._pending_evaluations.get(job.id)
             if (recorded is None or stage not in recorded) and now - job.submitted_at >= MIN_RECORDING_AGE_S:
-                ends = self.forecast(job.id)
-                if ends is not None:
-                    recorded_forecast = _RecordedForecast(now, ends, self._raw_medians_s[job.id])
-                    self._pending_evaluations.setdefault(job.id, {})[stage] = recorded_forecast
+                with ErrorBoundary("recording a forecast", job=job.id):
+                    self._record_forecast(job, stage, now)
+
+    def _record_forecast(self, job: Job, stage: str, now: Instant) -> None:
+        ends = self.forecast(job.id)
+        if ends is not None:
+            recorded_forecast = _RecordedForecast(now, ends, self._raw_medians_s[job.id])
+            self._pending_evaluations.setdefault(job.id, {})[stage] = recorded_forecast
 
     def on_job_ended(self, job: Job) -> None:
         """Learn from the recorded forecasts of a job that has ended, if all of its tasks are done."""
--- a/meadowcross/leadership/job_records.py
+++ b/meadowcross/leadership/job_records.py
@@ -6,6 +6,7 @@
 
 from meadowcross.autoscaling.autoscaler import Autoscaler
 from meadowcross.common.clock import pause
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import JobId, Revision, Seconds, WallTime
 from meadowcross.jobs import messages as job_messages
@@ -72,6 +73,16 @@
                 self._reconciler.on_job_resubmitted(job)
         self._on_new_version(job, revision, record.cancelled_at)
 
+    def apply_contained(self, key: str, value: Raw, revision: Revision) -> bool:
+        """Apply a record as `apply` does; return False, with the error logged, if it can't be applied.
+
+        The job of such a record is left as it is, and all other jobs go on.
+        """
+        boundary = ErrorBoundary("applying a job's record", job=JobId(key.removeprefix(job_messages.OPEN_PREFIX)))
+        with boundary:
+            self.apply(key, value, revision)
+        return not boundary.has_failed
+
     def _on_new_version(self, job: Job, revision: Revision, cancelled_at: WallTime | None) -> None:
         job.mod_revision = revision
         job.is_cancel_stored = cancelled_at is not None
@@ -113,7 +124,7 @@
                 self._follower.apply_events(response.events, revision)
             for event in response.events:
                 if event.written_key is not None:
-                    self._job_records.apply(event.written_key, event.value, event.mod_revision)
+                    self._job_records.apply_contained(event.written_key, event.value, event.mod_revision)
 
     async def _try_reread(self, revision: Revision) -> Revision:
         """Read all open jobs again, as the store no longer has the changes since `revision`.
@@ -125,5 +136,5 @@
             await pause(self._clock, REREAD_RETRY_S)
             return revision
         for item in items:
-            self._job_records.apply(item.key, item.value, item.mod_revision)
+            self._job_records.apply_contained(item.key, item.value, item.mod_revision)
         return new_revision
--- a/meadowcross/leadership/machine_status.py
+++ b/meadowcross/leadership/machine_status.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from meadowcross.autoscaling.autoscaler import Autoscaler
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Address, Instant, MachineKind
 from meadowcross.leadership.machine_records import MachineRecords
@@ -76,7 +77,8 @@
         if incarnation != previous_version.incarnation or machine.reclaim_at != previous_reclaim_at:
             self._log_changes(machine, previous_version.incarnation, previous_reclaim_at)
         for outcome in outcomes or ():
-            self._task_outcomes.apply(machine, outcome)
+            with ErrorBoundary("applying a task's state", job=outcome.placement.task.job, machine=machine.id):
+                self._task_outcomes.apply(machine, outcome)
         if has_just_confirmed:
             self._verification.on_first_response()
         if outcomes or has_just_confirmed:
--- a/meadowcross/leadership/maintenance_loop.py
+++ b/meadowcross/leadership/maintenance_loop.py
@@ -10,6 +10,7 @@
 from twisted.internet.task import LoopingCall
 
 from meadowcross.autoscaling.autoscaler import Autoscaler
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Seconds
 from meadowcross.estimates.samples import SampleCollector
@@ -25,6 +26,7 @@
 from meadowcross.leadership.term_context import TermState
 from meadowcross.workers.eviction import plan_reclaim_evictions
 from meadowcross.workers.health import FailureTracker
+from meadowcross.workers.machine import Machine
 
 if TYPE_CHECKING:
     from meadowcross.leadership.completion_forecaster import CompletionForecaster
@@ -63,11 +65,15 @@
                 or not machine.proof.has_confirmed_token
             ):
                 continue
-            if not machine.placements:
-                self._autoscaler.decommission(machine, "eviction notice, and no task left")
-            evictions = plan_reclaim_evictions(machine, self._job_table, self._run_time_estimator, self._context.now)
-            for placement, grace_s in evictions:
-                self._placement_writer.stop_task(placement, grace_s)
+            with ErrorBoundary("evicting tasks before a reclaim", machine=machine.id):
+                self._evict(machine)
+
+    def _evict(self, machine: Machine) -> None:
+        if not machine.placements:
+            self._autoscaler.decommission(machine, "eviction notice, and no task left")
+        evictions = plan_reclaim_evictions(machine, self._job_table, self._run_time_estimator, self._context.now)
+        for placement, grace_s in evictions:
+            self._placement_writer.stop_task(placement, grace_s)
 
 
 class LeadershipTransfer:
@@ -165,21 +171,28 @@
             log.info("process was suspended")
             self._scheduling_view.on_resume()
             return
-        try:
-            self._run_tasks()
-        except Exception:
-            # A failed tick must not end the loop.
-            log.exception("maintenance tick failed")
+        self._run_tasks()
 
     def _run_tasks(self) -> None:
+        """Run all tasks; one that fails does not keep the others from running."""
         tasks = self._tasks
-        tasks.transfer.transfer_if_better_reached()
-        tasks.decommissioner.decommission(tasks.health.find_faulty_machines(self._context.now), UNHEALTHY_REASON)
-        tasks.cancellation_tracker.retry()
-        tasks.evictions.evict_reclaimed()
-        tasks.reconciler.settle_orphaned_jobs()
-        tasks.run_sampler.sample_if_due()
+        with ErrorBoundary("transferring the leadership"):
+            tasks.transfer.transfer_if_better_reached()
+        with ErrorBoundary("finding faulty machines"):
+            tasks.decommissioner.decommission(tasks.health.find_faulty_machines(self._context.now), UNHEALTHY_REASON)
+        with ErrorBoundary("following cancellations"):
+            tasks.cancellation_tracker.retry()
+        with ErrorBoundary("evicting tasks before reclaims"):
+            tasks.evictions.evict_reclaimed()
+        with ErrorBoundary("settling orphaned jobs"):
+            tasks.reconciler.settle_orphaned_jobs()
+        with ErrorBoundary("sampling running tasks"):
+            tasks.run_sampler.sample_if_due()
+        with ErrorBoundary("descheduling service replicas"):
+            self._deschedule_if_due()
+        self._pass_trigger.schedule_pass()
+
+    def _deschedule_if_due(self) -> None:
         if self._context.now - self._last_descheduling_at >= self._context.operator_settings.move_period_s:
             self._last_descheduling_at = self._context.now
-            tasks.scheduling_loop.deschedule_replicas()
-        self._pass_trigger.schedule_pass()
+            self._tasks.scheduling_loop.deschedule_replicas()
--- a/meadowcross/leadership/peer_link.py
+++ b/meadowcross/leadership/peer_link.py
@@ -13,6 +13,7 @@
 from twisted.internet.task import LoopingCall
 
 from meadowcross.common.clock import Clock
+from meadowcross.common.error_boundary import contain_errors
 from meadowcross.common.http import ConnectionFailedError, NoResponseError, ServerResponse
 from meadowcross.common.logging import get_logger
 from meadowcross.common.settings import Peer
@@ -96,7 +97,7 @@
             peer_host, _, peer_port = peer.endpoint.rpartition(":")
             factory = PeerClientFactory(self, NodeName(peer.host_name), self._clock)
             reactor.connectTCP(peer_host, int(peer_port), factory, timeout=CONNECT_TIMEOUT_S)
-        loop = LoopingCall(self.send_heartbeats)
+        loop = LoopingCall(contain_errors("sending peer heartbeats", self.send_heartbeats))
         loop.clock = self._clock  # type: ignore[assignment]
         loop.start(HEARTBEAT_INTERVAL_S)
 
--- a/meadowcross/leadership/reconciler.py
+++ b/meadowcross/leadership/reconciler.py
@@ -172,7 +172,8 @@
                 self._recovery.report_data_loss(f"job {job_id}, which runs on {machine.id}, has no record", True)
         except (StoreUnavailableError, IndeterminateResultError, RequestRejectedError) as error:
             log.debug("lookup of unknown job failed job=%s machine=%s error=%s", job_id, machine.id, error)
-        self._queried_jobs.discard(job_id)
+        finally:
+            self._queried_jobs.discard(job_id)
 
     def settle_orphaned_jobs(self) -> None:
         """Store which jobs without a record still have tasks on machines, so that every controller reports them as
--- a/meadowcross/leadership/scheduling_loop.py
+++ b/meadowcross/leadership/scheduling_loop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Attempt, Instant, JobId, Seconds
 from meadowcross.jobs.job_table import Placement
@@ -14,6 +15,7 @@
 from meadowcross.placement.engine import place
 from meadowcross.placement.model import Decision, PendingJob, QuotaHeadroom
 from meadowcross.placement.preemption import Preemption, PreemptionPlanner
+from meadowcross.placement.victims import Victim
 from meadowcross.store.client import StoreClient
 
 log = get_logger("leadership")
@@ -56,12 +58,16 @@
             return
         started_at = self._context.now
         if self._verification.is_state_complete():
-            pending_jobs = self._scheduling_view.pending_jobs()
-            if pending_jobs:
-                self._place(pending_jobs, started_at)
+            with ErrorBoundary("placement pass"):
+                self._place_pending_jobs(started_at)
         self._placement_writer.job_writer.enqueue_dirty_chunks()
         self._pass_trigger.last_pass_s = self._context.now - started_at
 
+    def _place_pending_jobs(self, started_at: Instant) -> None:
+        pending_jobs = self._scheduling_view.pending_jobs()
+        if pending_jobs:
+            self._place(pending_jobs, started_at)
+
     def _is_store_failing(self) -> bool:
         failing_since = self._store.failing_since
         return failing_since is not None and self._context.now - failing_since > STORE_FAILURE_TOLERANCE_S
@@ -79,22 +85,30 @@
         placed_counts = {decision.job_id: len(decision.machines) for decision in decisions}
         for job_id, victims in self._plan_preemption(pending_jobs, placed_counts, headroom_by_team, started_at):
             log.info("preempting tasks job=%s count=%d", job_id, len(victims))
-            for victim in victims:
-                if isinstance(victim.task_key, Placement):
-                    self._placement_writer.stop_task(victim.task_key, victim.grace_s)
+            with ErrorBoundary("preempting tasks", job=job_id):
+                self._stop_victims(victims)
         if any(pending_job.requires_cached_image for pending_job in pending_jobs):
             self._context.clock.callLater(CACHED_IMAGE_RETRY_S, self._pass_trigger.schedule_pass)
 
     def apply_decisions(self, decisions: list[Decision]) -> None:
         """Record the decided placements; each is stored before its start is sent."""
-        now = self._context.now
         for decision in decisions:
-            job = self._job_table.jobs[decision.job_id]
-            if job.is_gang and job.gang_attempt is None:
-                job.gang_attempt = Attempt(max(job.attempts) + 1)
-            for machine_id in decision.machines:
-                placement = self._job_table.place(job, job.pop_waiting_task(), machine_id, now)
-                self._worker_registry.assign(self._worker_registry.machines[machine_id], placement, job.spec)
+            with ErrorBoundary("recording placements", job=decision.job_id):
+                self._apply_decision(decision)
+
+    def _apply_decision(self, decision: Decision) -> None:
+        now = self._context.now
+        job = self._job_table.jobs[decision.job_id]
+        if job.is_gang and job.gang_attempt is None:
+            job.gang_attempt = Attempt(max(job.attempts) + 1)
+        for machine_id in decision.machines:
+            placement = self._job_table.place(job, job.pop_waiting_task(), machine_id, now)
+            self._worker_registry.assign(self._worker_registry.machines[machine_id], placement, job.spec)
+
+    def _stop_victims(self, victims: list[Victim]) -> None:
+        for victim in victims:
+            if isinstance(victim.task_key, Placement):
+                self._placement_writer.stop_task(victim.task_key, victim.grace_s)
 
     def _plan_preemption(
         self,
@@ -123,7 +137,11 @@
         ):
             placement = replica.key
             if isinstance(placement, Placement):
-                # Once this copy is proven to have ended, the replica waits again and is placed by score.
-                log.info("moving service replica task=%s machine=%s", placement.task, placement.machine)
-                spec = self._job_table.jobs[placement.task.job].spec
-                self._placement_writer.stop_task(placement, spec.checkpoint_save_s)
+                with ErrorBoundary("moving a service replica", job=placement.task.job):
+                    self._move_replica(placement)
+
+    def _move_replica(self, placement: Placement) -> None:
+        """Stop the replica: once it is proven to have ended, it waits again and is placed by score."""
+        log.info("moving service replica task=%s machine=%s", placement.task, placement.machine)
+        spec = self._job_table.jobs[placement.task.job].spec
+        self._placement_writer.stop_task(placement, spec.checkpoint_save_s)
--- a/meadowcross/leadership/scheduling_view.py
+++ b/meadowcross/leadership/scheduling_view.py
@@ -10,6 +10,7 @@
 
 from meadowcross.autoscaling.messages import MachineType
 from meadowcross.common.clock import Clock
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.settings import Facts
 from meadowcross.common.types import EPSILON, Instant, MachineId, Seconds
 from meadowcross.estimates.estimators import RunTimeEstimator
@@ -228,11 +229,11 @@
     def pending_jobs(self) -> list[PendingJob]:
         """Returns the jobs with tasks to place, except the jobs that must not be placed now."""
         shared = self._collect_shared_inputs()
-        pending_jobs = [
-            self._pending_job(job, shared)
-            for job in self._job_table.waiting.values()
-            if self._may_be_placed(job, shared)
-        ]
+        pending_jobs: list[PendingJob] = []
+        for job in self._job_table.waiting.values():
+            with ErrorBoundary("listing pending jobs", job=job.id):
+                if self._may_be_placed(job, shared):
+                    pending_jobs.append(self._pending_job(job, shared))
         self._promote_starved(pending_jobs, shared.now)
         return pending_jobs
 
@@ -335,13 +336,19 @@
     def movable_replicas(self) -> list[ServiceReplica]:
         """Returns the running service replicas that may be moved."""
         shared = self._collect_shared_inputs()
+        replicas: list[ServiceReplica] = []
+        for job in self._job_table.jobs.values():
+            # A service with a waiting replica is already being moved.
+            if job.spec.kind is JobKind.SERVICE and job.cancelled_at is None and not job.waiting_count:
+                with ErrorBoundary("listing movable replicas", job=job.id):
+                    replicas += self._movable_replicas_of(job, shared)
+        return replicas
+
+    def _movable_replicas_of(self, job: Job, shared: _SharedInputs) -> list[ServiceReplica]:
         return [
             ServiceReplica(
                 placement, self._pending_job(job, shared), placement.machine, shared.now - placement.running_at
             )
-            for job in self._job_table.jobs.values()
-            # A service with a waiting replica is already being moved.
-            if job.spec.kind is JobKind.SERVICE and job.cancelled_at is None and not job.waiting_count
             for placement in job.placements.values()
             if placement.phase is PlacementPhase.RUNNING
             and placement.running_at is not None
@@ -381,7 +388,8 @@
                 continue
             if job.rank == rank and (not has_guaranteed_tasks or cpus_over_guarantee.get(job.spec.team, 0.0) <= 0):
                 continue
-            victims += self._victims_of(job, now, is_machine_schedulable)
+            with ErrorBoundary("listing preemptible tasks", job=job.id):
+                victims += self._victims_of(job, now, is_machine_schedulable)
         mark_borrowed(victims, cpus_over_guarantee)
         return victims
 
--- a/meadowcross/leadership/state_loader.py
+++ b/meadowcross/leadership/state_loader.py
@@ -7,7 +7,7 @@
 
 from meadowcross.autoscaling.messages import MACHINE_KEY_PREFIX, decode_machine_record
 from meadowcross.common.clock import pause
-from meadowcross.common.types import Instant, MachineId, MachineKind, Revision, revision_of
+from meadowcross.common.types import Instant, JobId, MachineId, MachineKind, Revision, revision_of
 from meadowcross.jobs.job_table import Job
 from meadowcross.jobs.messages import CHUNK_PREFIX, OPEN_PREFIX, decode_chunk, parse_chunk_key
 from meadowcross.leadership.cancellation_tracker import CancellationTracker
@@ -121,6 +121,8 @@
         self._job_records = job_records
         self._placement_writer = placement_writer
         self._cancellation_tracker = cancellation_tracker
+        self._unreadable_jobs: set[JobId] = set()
+        """Open jobs whose records could not be applied."""
 
     async def load(self) -> Revision:
         """Load the stored state in slices; ends early if the term ends.
@@ -131,7 +133,7 @@
         async for item in self._in_slices(stored.machines, MACHINES_PER_SLICE):
             self._load_machine(item, now)
         async for item in self._in_slices(stored.jobs, JOBS_PER_SLICE):
-            self._job_records.apply(item.key, item.value, item.mod_revision)
+            self._load_job(item)
         async for item in self._in_slices(stored.chunks, CHUNKS_PER_SLICE):
             self._load_chunk(item, now)
         async for job in self._in_slices(list(self._job_table.jobs.values()), JOBS_PER_SLICE):
@@ -147,8 +149,15 @@
         machine.is_creation_time_known = True
         machine.is_stored = True
 
+    def _load_job(self, item: Item) -> None:
+        if not self._job_records.apply_contained(item.key, item.value, item.mod_revision):
+            self._unreadable_jobs.add(JobId(item.key.removeprefix(OPEN_PREFIX)))
+
     def _load_chunk(self, item: Item, now: Instant) -> None:
         job_id, chunk = parse_chunk_key(item.key)
+        if job_id in self._unreadable_jobs:
+            # A program that can read the job's record needs the chunk.
+            return
         job = self._job_table.jobs.get(job_id)
         if job is None:
             self._placement_writer.job_writer.enqueue_delete(item.key)
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -14,6 +14,7 @@
 from meadowcross.autoscaling.cloud import CloudClient
 from meadowcross.autoscaling.messages import MachineType
 from meadowcross.common.clock import Clock, pause
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.http import HttpClient
 from meadowcross.common.logging import get_logger
 from meadowcross.common.settings import OperatorSettings, Settings
@@ -461,5 +462,10 @@
         return self.hint_exchange.export()
 
     def forecast(self, job_id: JobId) -> CompletionForecast | None:
-        """Returns when the job will be done; None before the state is loaded, or where run times are not learned."""
-        return self.forecaster.forecast(job_id) if self.forecaster is not None and self.is_loaded else None
+        """Returns when the job will be done; None before the state is loaded, where run times are not learned, and
+        after an unexpected error: a user's question for the job's state is answered without a forecast."""
+        if self.forecaster is None or not self.is_loaded:
+            return None
+        with ErrorBoundary("forecasting the end of a job", job=job_id):
+            return self.forecaster.forecast(job_id)
+        return None
--- a/meadowcross/placement/descheduler.py
+++ b/meadowcross/placement/descheduler.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.settings import OperatorSettings
 from meadowcross.common.types import JobId, MachineId, Seconds
 from meadowcross.placement.model import Candidate, PendingJob, is_kind_allowed
@@ -49,8 +50,9 @@
             or usage.get(replica.machine, 0.0) * 100 <= weights.move_usage_percent
         ):
             continue
-        if _has_better_machine(replica.pending_job, current_candidate, by_machine.values(), weights):
-            selected[replica.pending_job.job_id] = replica
+        with ErrorBoundary("looking for a better machine", job=replica.pending_job.job_id):
+            if _has_better_machine(replica.pending_job, current_candidate, by_machine.values(), weights):
+                selected[replica.pending_job.job_id] = replica
     return list(selected.values())
 
 
--- a/meadowcross/placement/engine.py
+++ b/meadowcross/placement/engine.py
@@ -5,6 +5,7 @@
 import heapq
 from collections.abc import Iterable, Mapping
 
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.settings import OperatorSettings
 from meadowcross.common.types import EPSILON, MachineId
 from meadowcross.placement.constrained import place_constrained
@@ -38,32 +39,53 @@
 
     Resources and quota of the placed tasks are subtracted from `candidates` and `headroom_by_team`.
     """
-    available_candidates = list(candidates)
-    unplaceable_shapes: set[TaskShape] = set()
-    decisions: list[Decision] = []
+    placing = _PlacementPass(list(candidates), headroom_by_team, weights, reservations)
     for pending_job in sorted(pending_jobs, key=queue_order):
+        with ErrorBoundary("choosing machines", job=pending_job.job_id):
+            placing.place_job(pending_job)
+    return placing.decisions
+
+
+class _PlacementPass:
+    """The free resources and the decisions of one pass."""
+
+    def __init__(
+        self,
+        candidates: list[Candidate],
+        headroom_by_team: dict[str, QuotaHeadroom],
+        weights: OperatorSettings,
+        reservations: Mapping[MachineId, Reservation],
+    ) -> None:
+        self._candidates = candidates
+        self._headroom_by_team = headroom_by_team
+        self._weights = weights
+        self._reservations = reservations
+        self._unplaceable_shapes: set[TaskShape] = set()
+        self.decisions: list[Decision] = []
+
+    def place_job(self, pending_job: PendingJob) -> None:
+        """Choose machines for as many of the job's tasks as fit."""
         spec = pending_job.spec
         shape = task_shape(spec)
         is_constrained = has_topology_constraints(spec)
-        if not is_constrained and shape in unplaceable_shapes:
-            continue
-        headroom = headroom_by_team[spec.team]
+        if not is_constrained and shape in self._unplaceable_shapes:
+            return
+        headroom = self._headroom_by_team[spec.team]
         count = _count_placeable(pending_job, headroom)
         if count == 0:
-            continue
-        fitting_candidates = _filter_candidates(available_candidates, pending_job, reservations)
+            return
+        fitting_candidates = _filter_candidates(self._candidates, pending_job, self._reservations)
         if is_constrained:
-            machines = place_constrained(pending_job, fitting_candidates, count, weights)
+            machines = place_constrained(pending_job, fitting_candidates, count, self._weights)
         else:
-            machines = _place_unconstrained(pending_job, fitting_candidates, count, weights)
+            machines = _place_unconstrained(pending_job, fitting_candidates, count, self._weights)
             if len(machines) < count and not pending_job.requires_cached_image:
-                unplaceable_shapes.add(shape)
+                self._unplaceable_shapes.add(shape)
         if machines:
             headroom.consume(spec, len(machines))
-            decisions.append(Decision(pending_job.job_id, machines))
+            self.decisions.append(Decision(pending_job.job_id, machines))
             # Full machines are dropped here instead of being filtered again for each later job.
-            available_candidates = [candidate for candidate in available_candidates if candidate.free_cpus > EPSILON]
-    return decisions
+            self._candidates = [candidate for candidate in self._candidates if candidate.free_cpus > EPSILON]
 
 
 def _count_placeable(pending_job: PendingJob, headroom: QuotaHeadroom) -> int:
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -10,6 +10,7 @@
 from math import inf
 from typing import NamedTuple, Protocol
 
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.settings import OperatorSettings
 from meadowcross.common.types import Instant, JobId, MachineId, Seconds
 from meadowcross.jobs.messages import PRIORITY_RANKS
@@ -106,7 +107,7 @@
     """
 
     def __init__(self, snapshot: PreemptionSnapshot, pending_jobs: Collection[PendingJob]) -> None:
-        self._snapshot = snapshot
+        self.snapshot = snapshot
         self._pending_jobs = pending_jobs
         self._is_loaded = False
         self._has_all_candidates = False
@@ -126,12 +127,12 @@
         if not self._is_loaded:
             self._is_loaded = True
             has_guaranteed_tasks = any(job.guaranteed_tasks for job in self._pending_jobs)
-            self.victims = self._snapshot.victims(pending_job.rank, has_guaranteed_tasks)
-            self.candidates = self._snapshot.candidates_of(self.victims)
+            self.victims = self.snapshot.victims(pending_job.rank, has_guaranteed_tasks)
+            self.candidates = self.snapshot.candidates_of(self.victims)
             self._smallest_cpus_by_rank = find_smallest_cpus_by_rank(self.victims)
         if has_topology_constraints(pending_job.spec) and not self._has_all_candidates:
             self._has_all_candidates = True
-            self.candidates = self._snapshot.all_candidates()
+            self.candidates = self.snapshot.all_candidates()
 
     def remove_victims(self, selected: Iterable[Victim]) -> None:
         """Remove the selected victims, so that later jobs do not select them again."""
@@ -216,24 +217,32 @@
         planning_pass = _PlanningPass(snapshot, pending_jobs)
         preemptions: list[Preemption] = []
         for pending_job in sorted(pending_jobs, key=queue_order):
-            missing_tasks = min(
-                pending_job.task_count - placed_counts.get(pending_job.job_id, 0),
-                headroom_by_team[pending_job.spec.team].max_tasks(pending_job.spec),
-            )
-            if missing_tasks <= 0 or pending_job.job_id in self._in_progress:
-                continue
-            if pending_job.is_starved:
-                self._reserve_for_starved(pending_job, missing_tasks, snapshot)
-            if not self._may_preempt_now(pending_job, now) or not snapshot.may_preempt(pending_job):
-                continue
-            planning_pass.load_for(pending_job)
-            selected = self._select_victims(pending_job, missing_tasks, planning_pass)
-            if selected:
-                planning_pass.remove_victims(selected)
-                self._record_attempt(pending_job, selected, now)
-                preemptions.append(Preemption(pending_job.job_id, selected))
+            with ErrorBoundary("planning preemption", job=pending_job.job_id):
+                missing_tasks = min(
+                    pending_job.task_count - placed_counts.get(pending_job.job_id, 0),
+                    headroom_by_team[pending_job.spec.team].max_tasks(pending_job.spec),
+                )
+                if missing_tasks > 0 and pending_job.job_id not in self._in_progress:
+                    preemptions += self._plan_for(pending_job, missing_tasks, planning_pass, now)
         return preemptions
 
+    def _plan_for(
+        self, pending_job: PendingJob, missing_tasks: int, planning_pass: _PlanningPass, now: Instant
+    ) -> list[Preemption]:
+        """Reserve machines for the job and return its preemption, if there is any."""
+        snapshot = planning_pass.snapshot
+        if pending_job.is_starved:
+            self._reserve_for_starved(pending_job, missing_tasks, snapshot)
+        if not self._may_preempt_now(pending_job, now) or not snapshot.may_preempt(pending_job):
+            return []
+        planning_pass.load_for(pending_job)
+        selected = self._select_victims(pending_job, missing_tasks, planning_pass)
+        if not selected:
+            return []
+        planning_pass.remove_victims(selected)
+        self._record_attempt(pending_job, selected, now)
+        return [Preemption(pending_job.job_id, selected)]
+
     def _drop_finished_attempts(self, now: Instant, is_still_placed: Callable[[object], bool]) -> None:
         for job_id in list(self._in_progress):
             attempt = self._attempts[job_id]
--- a/meadowcross/store/group_commit.py
+++ b/meadowcross/store/group_commit.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import Deferred
 
 from meadowcross.common.clock import Clock, pause
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Instant, Revision, Seconds
 from meadowcross.store.client import (
@@ -75,6 +76,7 @@
         self.changes: list[Change] = []
         self._conditions: dict[str, Condition] = {leader_condition.key: leader_condition}
         self._size_bytes = 0
+        self._is_full = False
         self._max_changes = max_changes
         self._max_conditions = max_conditions
 
@@ -85,14 +87,16 @@
     def has_room_for(self, write: Write) -> bool:
         """Whether the write fits into the transaction; a first write always does, since it must be attempted anyway."""
         return not self.writes or (
-            len(self.changes) + len(write.changes) <= self._max_changes
+            not self._is_full
+            and len(self.changes) + len(write.changes) <= self._max_changes
             and len(self._conditions) + len(write.conditions) <= self._max_conditions
             and self._size_bytes + write.estimate_bytes() <= MAX_TRANSACTION_BYTES
         )
 
-    def add(self, batched: _BatchedWrite) -> None:
-        """Add a write with its changes and conditions to the transaction."""
+    def add(self, batched: _BatchedWrite, is_alone: bool) -> None:
+        """Add a write with its changes and conditions to the transaction; `is_alone` keeps further writes out."""
         write = batched.write
+        self._is_full = is_alone
         self.writes.append(batched)
         self.changes.extend(write.changes)
         self._conditions.update((condition.key, condition) for condition in write.conditions)
@@ -131,8 +135,9 @@
         self._background_since: Instant | None = None
         self._wake: Deferred[None] | None = None
         self._is_stopped = False
-        self._commits_singly = False
         self._is_busy = False
+        self._isolated: set[Hashable] = set()
+        """Writes that may have made a transaction fail; each is stored in a transaction of its own."""
 
     def stop(self) -> None:
         """Stop `run` after the transaction in flight; queued writes are not stored."""
@@ -141,7 +146,7 @@
 
     def is_idle(self) -> bool:
         """Whether no transaction is in flight or being retried, so that the outcome of every transaction is known."""
-        return not self._is_busy
+        return not self._is_busy and not self._isolated
 
     def enqueue(self, write_id: Hashable, write_factory: WriteFactory, is_urgent: bool) -> None:
         """Queue a write unless one with the same id is queued; an urgent write replaces a background write."""
@@ -179,7 +184,6 @@
                 log.debug("commit delayed failures=%d error=%s", failures, error)
                 await pause(self._clock, _backoff_s(FAILURE_PAUSE_S, failures))
             except Exception:
-                # A fault in one write must not prevent the storage of the other writes.
                 log.exception("commit failed")
                 await pause(self._clock, ERROR_PAUSE_S)
 
@@ -213,45 +217,88 @@
 
     def _fill_batch(self, batch: _Batch, queue: dict[Hashable, WriteFactory], is_urgent: bool) -> None:
         for write_id, factory in list(queue.items()):
-            write = factory()
+            is_alone = write_id in self._isolated
+            if is_alone and batch.writes:
+                continue
+            boundary = ErrorBoundary(f"building write {write_id}")
+            write: Write | None = None
+            with boundary:
+                write = factory()
+            if boundary.has_failed:
+                del queue[write_id]
+                self._retry_later(write_id, factory, is_urgent)
+                continue
             if write is None or not write.changes:
                 del queue[write_id]
+                self._isolated.discard(write_id)
                 continue
-            if (self._commits_singly and batch.writes) or not batch.has_room_for(write):
+            if not batch.has_room_for(write):
                 return
             del queue[write_id]
-            batch.add(_BatchedWrite(write_id, factory, write, is_urgent))
+            batch.add(_BatchedWrite(write_id, factory, write, is_urgent), is_alone)
+
+    def _retry_later(self, write_id: Hashable, factory: WriteFactory, is_urgent: bool) -> None:
+        """Queue a faulty write again after `ERROR_PAUSE_S`; the other writes do not wait for it."""
+        self._clock.callLater(ERROR_PAUSE_S, self.enqueue, write_id, factory, is_urgent)
 
     async def _commit_batch(self) -> bool:
         """Store one batch of queued writes, if there are any; return False if a condition did not hold."""
         batch = self._collect_batch()
         if not batch.writes:
             return True
-        conditions = batch.conditions()
         revision: Revision | None = None
+        is_isolated = False
         try:
-            revision = await self._store.transact(conditions, batch.changes, batch.priority())
-            self._commits_singly = False
-            self._on_written(revision, batch.changes)
-        except ConflictError as conflict:
-            await self._reread_keys(conflict.failed_keys)
-        except IndeterminateResultError:
-            await self._reread_changed(conditions)
-            raise
-        except RequestRejectedError:
-            # Single commits isolate the rejected write, so that it does not block the other writes.
-            self._commits_singly = True
+            revision = await self._transact(batch)
+        except (StoreUnavailableError, IndeterminateResultError):
             raise
+        except Exception:
+            # Rejected by the store, or an error of this program: one write must not block the other writes.
+            is_isolated = len(batch.writes) == 1
+            self._isolate(batch)
+            if not is_isolated:
+                raise
+            log.exception("commit of one write failed write=%s", batch.writes[0].write_id)
         finally:
-            if revision is None:
+            if revision is None and not is_isolated:
                 self._requeue(batch)
         if revision is None:
-            return False
-        if not self._is_stopped:
-            for batched in batch.writes:
-                batched.write.on_stored(revision)
+            return is_isolated
+        self._report_stored(batch, revision)
         return True
 
+    async def _transact(self, batch: _Batch) -> Revision | None:
+        """Store the batch and return its revision; return None, with the failed keys read again, after a conflict.
+
+        Raises the errors of `StoreClient.transact` other than ConflictError, and those of reading the keys again.
+        """
+        conditions = batch.conditions()
+        try:
+            return await self._store.transact(conditions, batch.changes, batch.priority())
+        except ConflictError as conflict:
+            await self._reread_keys(conflict.failed_keys)
+            return None
+        except IndeterminateResultError:
+            await self._reread_changed(conditions)
+            raise
+
+    def _isolate(self, batch: _Batch) -> None:
+        """Store the writes of a failed transaction one by one from now on; a single one is tried again later."""
+        self._isolated.update(batched.write_id for batched in batch.writes)
+        if len(batch.writes) == 1:
+            batched = batch.writes[0]
+            self._retry_later(batched.write_id, batched.factory, batched.is_urgent)
+
+    def _report_stored(self, batch: _Batch, revision: Revision) -> None:
+        """Call the callbacks of a stored transaction; an error of one does not keep the others from being called."""
+        with ErrorBoundary("applying a stored transaction"):
+            self._on_written(revision, batch.changes)
+        for batched in batch.writes:
+            self._isolated.discard(batched.write_id)
+            if not self._is_stopped:
+                with ErrorBoundary(f"applying stored write {batched.write_id}"):
+                    batched.write.on_stored(revision)
+
     async def _reread_changed(self, conditions: Sequence[Condition]) -> None:
         """Read the keys again that changed since a transaction without an answer was built.
 
--- a/meadowcross/workers/eviction.py
+++ b/meadowcross/workers/eviction.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.types import Instant, Seconds
 from meadowcross.estimates.estimators import RunTimeEstimator
 from meadowcross.estimates.samples import elapsed_run_s
@@ -56,18 +57,31 @@
         job = job_table.jobs.get(placement.task.job)
         if job is None or placement.stop_requested_at is not None or placement.phase is not PlacementPhase.RUNNING:
             continue
-        if job.spec.checkpoint_interval_s > 0:
-            if remaining_s > job.spec.checkpoint_save_s:
-                for member in job.placements.values() if job.is_gang else [placement]:
-                    if member.may_have_started and member.stop_requested_at is None:
-                        evictions[id(member)] = Eviction(member, max(remaining_s, job.spec.checkpoint_save_s))
-        elif not job.is_gang and estimator.remaining_time(
-            job.spec, elapsed_run_s(job, placement, now)
-        ) > OVERRUN_FACTOR * max(remaining_s, 0.0):
-            evictions[id(placement)] = Eviction(placement, 0.0)
+        with ErrorBoundary("planning evictions before a reclaim", job=job.id, machine=machine.id):
+            for eviction in _plan_reclaim_evictions_of(job, placement, remaining_s, estimator, now):
+                evictions[id(eviction.placement)] = eviction
     return list(evictions.values())
 
 
+def _plan_reclaim_evictions_of(
+    job: Job, placement: Placement, remaining_s: Seconds, estimator: RunTimeEstimator, now: Instant
+) -> list[Eviction]:
+    """Return the placements of one job to stop because of one of its placements."""
+    checkpoint_save_s = job.spec.checkpoint_save_s
+    if job.spec.checkpoint_interval_s > 0:
+        if remaining_s <= checkpoint_save_s:
+            return []
+        return [
+            Eviction(member, max(remaining_s, checkpoint_save_s))
+            for member in (job.placements.values() if job.is_gang else [placement])
+            if member.may_have_started and member.stop_requested_at is None
+        ]
+    if job.is_gang:
+        return []
+    expected_s = estimator.remaining_time(job.spec, elapsed_run_s(job, placement, now))
+    return [Eviction(placement, 0.0)] if expected_s > OVERRUN_FACTOR * max(remaining_s, 0.0) else []
+
+
 def unacknowledged_stops(jobs: Iterable[Job], now: Instant, max_machines: int) -> list[Placement]:
     """Return placements of cancelled jobs that are not gone although their stop commands were sent.
 
@@ -116,10 +130,11 @@
             continue
         if placement.phase is not PlacementPhase.RUNNING or placement.running_at is None:
             continue
-        remaining_s = estimator.remaining_time(job.spec, elapsed_run_s(job, placement, now))
-        if (
-            now - placement.running_at > MIN_RUN_BEFORE_MOVE_S
-            and not 0 <= remaining_s <= 2 * job.spec.checkpoint_save_s
-        ):
-            evictions.append(Eviction(placement, checkpoint_grace_s(job.spec.checkpoint_save_s)))
+        with ErrorBoundary("planning evictions of a draining machine", job=job.id, machine=machine.id):
+            remaining_s = estimator.remaining_time(job.spec, elapsed_run_s(job, placement, now))
+            if (
+                now - placement.running_at > MIN_RUN_BEFORE_MOVE_S
+                and not 0 <= remaining_s <= 2 * job.spec.checkpoint_save_s
+            ):
+                evictions.append(Eviction(placement, checkpoint_grace_s(job.spec.checkpoint_save_s)))
     return evictions
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
+from meadowcross.common import error_boundary
+from tests.support.contained_errors import ContainedErrors
 from tests.support.unhandled_errors import UnhandledErrors
 from tests.support.world import World
 
@@ -44,3 +46,16 @@
     finally:
         globalLogPublisher.removeObserver(errors)
     assert not errors.tracebacks, f"{len(errors.tracebacks)} unhandled errors in Deferreds: {errors.tracebacks[0]}"
+
+
+@pytest.fixture(autouse=True)
+def contained_errors() -> Iterator[ContainedErrors]:
+    """Fails a test in which an error boundary contained an error, unless the test expects that."""
+    errors = ContainedErrors()
+    error_boundary.repeat_filter.reset()
+    error_boundary.log.addHandler(errors)
+    try:
+        yield errors
+    finally:
+        error_boundary.log.removeHandler(errors)
+    assert errors.are_expected or not errors.records, errors.describe_first()
--- a/tests/store/test_group_commit.py
+++ b/tests/store/test_group_commit.py
@@ -85,3 +85,69 @@
     call_count_before = len(world.net.calls)
     world.pass_time(10.0)
     assert 5 < len(world.net.calls) - call_count_before < 60, "the write is retried at a limited rate"
+
+
+def put(key, on_stored=lambda _revision: None):
+    return lambda: Write([], [Put(key, encode_raw(1))], on_stored)
+
+
+def fail(*_args):
+    raise OverflowError("injected")
+
+
+FAULTY_WRITES = [
+    ("it can't be built", fail),
+    ("its callback fails", put("faulty", fail)),
+    ("its request can't be encoded", lambda: Write([], [Put("faulty", object())], lambda _revision: None)),
+]
+
+
+@pytest.mark.parametrize("factory", [case[1] for case in FAULTY_WRITES], ids=[case[0] for case in FAULTY_WRITES])
+@pytest.mark.parametrize("is_urgent", [True, False], ids=["urgent", "background"])
+def test_faulty_write_delays_no_other_write(world, contained_errors, factory, is_urgent):
+    """Guards against a queue that one write blocks: it is in front of the others again in each round."""
+    contained_errors.are_expected = True
+    committer, _ = start_committer(world)
+    stored = []
+    committer.enqueue("faulty", factory, is_urgent)
+    for number in range(40):
+        committer.enqueue(f"k{number}", put(f"k{number}", stored.append), is_urgent)
+    world.pass_time(5.0)
+    assert len(stored) == 40
+    # Later writes are stored together again, also while the faulty one is still retried.
+    for number in range(40, 80):
+        committer.enqueue(f"k{number}", put(f"k{number}", stored.append), is_urgent)
+    world.pass_time(2.0)
+    assert len(stored) == 80
+
+
+def test_rejected_write_delays_no_other_write_and_is_stored_once_it_is_accepted(world):
+    """Guards against a write that is too large or malformed for the store and blocks the queue."""
+    committer, _ = start_committer(world)
+    handle, rejected, stored = world.net.hosts["state:1"], ["bad"], []
+
+    def reject_bad(method, path, query, body):
+        if any(key.encode() in body for key in rejected):
+            return 400, {"error": "malformed"}
+        return handle(method, path, query, body)
+
+    world.net.hosts["state:1"] = reject_bad
+    committer.enqueue("bad", put("bad", stored.append), True)
+    for number in range(40):
+        committer.enqueue(f"k{number}", put(f"k{number}", stored.append), True)
+    world.pass_time(5.0)
+    assert len(stored) == 40 and not committer.is_idle()
+    rejected.clear()
+    world.pass_time(2.0)
+    assert world.state.value("bad") == 1 and len(stored) == 41 and committer.is_idle()
+
+
+def test_error_after_a_stored_transaction_skips_no_callback(world, contained_errors):
+    """Guards against placements that are stored and never started: their callbacks were skipped."""
+    contained_errors.are_expected = True
+    committer = GroupCommitter(world.clock, world.store, Condition("lead", 0), fail, fail)
+    Deferred.fromCoroutine(committer.run())
+    stored = []
+    committer.enqueue("k", put("k", stored.append), True)
+    world.pass_time(1.0)
+    assert len(stored) == 1
