An id with a line break at its end is refused with 400

`$` also matches before a line break at the end; the protocol gives ids "always in this form", without one.

--- a/meadowcross/jobs/messages.py
+++ b/meadowcross/jobs/messages.py
@@ -15,7 +15,7 @@
 
 MAX_TASKS = 100_000
 
-_Id = Annotated[str, Meta(pattern=r"^wk-[0-9]{6,18}$")]
+_Id = Annotated[str, Meta(pattern=r"^wk-[0-9]{6,18}\Z")]
 _Text = Annotated[str, Meta(min_length=1, max_length=200)]
 _PositiveAmount = Annotated[float, Meta(gt=0, le=1e9)]
 _Amount = Annotated[float, Meta(ge=0, le=1e9)]
