Log when a machine is quarantined, and when the quarantine ends

A machine that failed one task gets no other; the logs show the failed task and refused requests for another machine, but not why the empty machine is passed over. Hypotheses for the wait: (1) the quarantine after the failure never ends; (2) the machine counts as silent or unresponsive; (3) the job is paused, or its team is at its limit. Lines of (2) and (3) exist or leave other jobs of the team running; for (1) there was none.

Change: a line with the machine, the job and the time to the failure, and one at the end of the quarantine.

--- a/meadowcross/workers/health.py
+++ b/meadowcross/workers/health.py
@@ -10,9 +10,12 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Instant, JobId, MachineId, Seconds
 from meadowcross.jobs.job_table import Job, Placement, PlacementPhase
 
+log = get_logger("workers")
+
 FIRST_PAUSE_S: Seconds = 2.0
 MAX_PAUSE_S: Seconds = 30.0
 MAX_PAUSES = 4
@@ -98,6 +101,8 @@
         if len(job.failed_machines) >= 2 and job.is_probing:
             self._pause_job(job, failed_after_s, now)
             return []
+        if machine not in self._failures:
+            log.info("machine quarantined machine=%s job=%s failed_after_s=%.1f", machine, job.id, failed_after_s)
         failures = self._failures.setdefault(machine, {})
         failures[job] = max(failed_after_s, failures.get(job, 0.0))
         return self.find_faulty_machines(now)
@@ -122,6 +127,7 @@
             failures = self._failures.get(machine)
             if failures is not None and failures.pop(job, None) is not None and not failures:
                 del self._failures[machine]
+                log.info("quarantine ended machine=%s job=%s", machine, job.id)
 
     def record_success(self, job: Job, machine: MachineId) -> list[MachineId]:
         """Record that a task of the job completed on a machine; return the machines to decommission."""
