A quarantine ends by time and a trial on the machine itself, not only by events on other machines

Seen: a machine failed one task in 4 s of sickness and was healthy, empty and reporting afterwards.

The other hypotheses fall: the machine's heartbeats were answered, and no other line names it.

Cause: a quarantine ended when the job ran, or failed, on another machine, or ended. Where no other machine may run the job, or none has room, nothing on this machine could end it, nor under the next leader, which gets it with the hints.

Change: `workers/quarantine.py`: after a pause of 15 s, 30 s from the second one on, the machine gets a trial: one job that the pass found no other capacity for, with one task, a gang with all (`leadership/trial_placement.py`). A task that began after the failure releases the machine when it completes, outlives the failure, or has run for 30 s. A trial that does not run within 30 s does not keep other jobs from one. The next leader begins with the first pause; the messages between leaders are unchanged. The pauses leave room for three trials, or a pause and a trial of each length, in the 90 s that a job may wait.

The other side: a machine that fails every task costs an attempt in half a minute, of jobs in turn; jobs that never failed go first, then those whose failure is longest ago. A job that failed where another one runs well since is at fault: it is paused and takes the machine no more. That it stays at one task at a time ends when its task outlives the failure, also on this machine.

The call in tests/workers/test_health.py passes the placement now; its table is unchanged.

--- a/meadowcross/jobs/job_table.py
+++ b/meadowcross/jobs/job_table.py
@@ -95,6 +95,8 @@
         self.failed_machines: set[MachineId] = set()
         self.healthy_machines: set[MachineId] = set()
         """Machines where a task of the job was done, or ran for longer than another task took to fail."""
+        self.has_failed_on_healthy_machine = False
+        """Whether the job failed on a machine where another job has run well since."""
         self.pause_count = 0
         self.gang_attempt: Attempt | None = None
         self.checkpointed_progress: dict[int, Seconds] = {}
--- a/meadowcross/leadership/scheduling_loop.py
+++ b/meadowcross/leadership/scheduling_loop.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Attempt, Instant, JobId, Seconds
@@ -11,12 +13,14 @@
 from meadowcross.leadership.placement_writer import PlacementWriter
 from meadowcross.leadership.scheduling_view import SchedulingView
 from meadowcross.leadership.term_context import TermState
+from meadowcross.leadership.trial_placement import TrialInputs, choose_trials
 from meadowcross.placement.descheduler import select_replicas_to_move
 from meadowcross.placement.engine import place
-from meadowcross.placement.model import Decision, PendingJob, QuotaHeadroom
+from meadowcross.placement.model import Candidate, Decision, PendingJob, QuotaHeadroom
 from meadowcross.placement.preemption import Preemption, PreemptionPlanner
 from meadowcross.placement.victims import Victim
 from meadowcross.store.client import StoreClient
+from meadowcross.workers.health import FailureTracker
 
 log = get_logger("leadership")
 
@@ -26,6 +30,15 @@
 """No pass runs once the store has failed for longer than this: placements could not be stored."""
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementParts:
+    """The components that a placement decision is taken from."""
+
+    scheduling_view: SchedulingView
+    preemption: PreemptionPlanner
+    health: FailureTracker
+
+
 class SchedulingLoop:
     """Runs placement passes, and moves service replicas to better machines."""
 
@@ -33,8 +46,7 @@
         self,
         state: TermState,
         store: StoreClient,
-        scheduling_view: SchedulingView,
-        preemption: PreemptionPlanner,
+        parts: PlacementParts,
         placement_writer: PlacementWriter,
         verification: MachineVerification,
         pass_trigger: PassTrigger,
@@ -45,8 +57,9 @@
         self._job_table = state.job_table
         self._worker_registry = state.worker_registry
         self._store = store
-        self._scheduling_view = scheduling_view
-        self._preemption = preemption
+        self._scheduling_view = parts.scheduling_view
+        self._preemption = parts.preemption
+        self._health = parts.health
         self._placement_writer = placement_writer
         self._verification = verification
         self._pass_trigger = pass_trigger
@@ -74,8 +87,9 @@
 
     def _place(self, pending_jobs: list[PendingJob], started_at: Instant) -> None:
         headroom_by_team = self._scheduling_view.quota_headroom()
+        candidates = self._scheduling_view.candidates()
         decisions = place(
-            self._scheduling_view.candidates(),
+            candidates,
             pending_jobs,
             headroom_by_team,
             self._context.operator_settings,
@@ -87,9 +101,33 @@
             log.info("preempting tasks job=%s count=%d", job_id, len(victims))
             with ErrorBoundary("preempting tasks", job=job_id):
                 self._stop_victims(victims)
+        with ErrorBoundary("placing trials"):
+            self._place_trials(pending_jobs, placed_counts, headroom_by_team, candidates)
         if any(pending_job.requires_cached_image for pending_job in pending_jobs):
             self._context.clock.callLater(CACHED_IMAGE_RETRY_S, self._pass_trigger.schedule_pass)
 
+    def _place_trials(
+        self,
+        pending_jobs: list[PendingJob],
+        placed_counts: dict[JobId, int],
+        headroom_by_team: dict[str, QuotaHeadroom],
+        candidates: list[Candidate],
+    ) -> None:
+        """Place tasks that found no other capacity on quarantined machines whose pause is over."""
+        trial_candidates = self._scheduling_view.trial_candidates()
+        if not trial_candidates:
+            return
+        # Capacity is about to become free for jobs in whose favor tasks were preempted.
+        waiting = [pending for pending in pending_jobs if not self._preemption.is_in_progress(pending.job_id)]
+        inputs = TrialInputs(waiting, placed_counts, headroom_by_team, candidates, self._preemption.reservations)
+        weights = self._context.operator_settings
+        for machine_id, decision in choose_trials(trial_candidates, inputs, self._job_table, weights).items():
+            self.apply_decisions([decision])
+            if machine_id in decision.machines:
+                job = self._job_table.jobs[decision.job_id]
+                placements = [placement for placement in job.placements.values() if placement.machine == machine_id]
+                self._health.begin_trial(job, max(placements, key=lambda placement: placement.placed_at))
+
     def apply_decisions(self, decisions: list[Decision]) -> None:
         """Record the decided placements; each is stored before its start is sent."""
         for decision in decisions:
--- a/meadowcross/leadership/scheduling_view.py
+++ b/meadowcross/leadership/scheduling_view.py
@@ -69,6 +69,18 @@
     """The fetch rate of the machine type with the fastest network."""
 
 
+def _make_candidate(machine: Machine, machine_type: MachineType) -> Candidate:
+    return Candidate(
+        machine.id,
+        machine.kind,
+        machine_type.cpus - machine.usage.cpus,
+        machine_type.gpus - machine.usage.gpus,
+        machine_type.memory_gb - machine.usage.memory_gb,
+        machine.images.cached,
+        set(machine.images.pending_fetches),
+    )
+
+
 class SchedulingView:
     """Computes which machines may be given tasks, and which jobs have tasks to place."""
 
@@ -150,6 +162,10 @@
         return self._is_schedulable(machine, self._contact_cutoff())
 
     def _is_schedulable(self, machine: Machine, contact_cutoff: Instant) -> bool:
+        return self._is_in_service(machine, contact_cutoff) and not self._health.is_quarantined(machine.id)
+
+    def _is_in_service(self, machine: Machine, contact_cutoff: Instant) -> bool:
+        """Whether the machine can execute tasks and is to be kept; it may be quarantined."""
         return (
             machine.proof.has_confirmed_token
             and machine.is_stored
@@ -164,7 +180,6 @@
             # lease: tasks would be started there over and over. The heartbeat of a machine that was just registered may
             # take as long as the contact window.
             and (machine.contact.last_heartbeat_at or machine.contact.first_seen_at) >= contact_cutoff
-            and not self._health.is_quarantined(machine.id)
         )
 
     def usability_check(self) -> Callable[[Machine], bool]:
@@ -199,18 +214,22 @@
         machine_ids = {victim.machine for victim in victims}
         return self._candidates(self._worker_registry.machines[machine_id] for machine_id in machine_ids)
 
+    def trial_candidates(self) -> list[Candidate]:
+        """Returns the quarantined machines on which one job may be placed, to show whether tasks still fail there."""
+        machines_with_free_cpu = self._worker_registry.machines_with_free_cpu
+        contact_cutoff = self._contact_cutoff()
+        return [
+            _make_candidate(machine, machine.machine_type)
+            for machine_id in self._health.list_machines_for_trial(self._now)
+            if (machine := machines_with_free_cpu.get(machine_id)) is not None
+            and machine.machine_type is not None
+            and self._is_in_service(machine, contact_cutoff)
+        ]
+
     def _candidates(self, machines: Iterable[Machine]) -> list[Candidate]:
         contact_cutoff = self._contact_cutoff()
         return [
-            Candidate(
-                machine.id,
-                machine.kind,
-                machine.machine_type.cpus - machine.usage.cpus,
-                machine.machine_type.gpus - machine.usage.gpus,
-                machine.machine_type.memory_gb - machine.usage.memory_gb,
-                machine.images.cached,
-                set(machine.images.pending_fetches),
-            )
+            _make_candidate(machine, machine.machine_type)
             for machine in machines
             if machine.machine_type is not None and self._is_schedulable(machine, contact_cutoff)
         ]
--- a/meadowcross/leadership/task_outcomes.py
+++ b/meadowcross/leadership/task_outcomes.py
@@ -76,7 +76,7 @@
         self._samples.on_task_completed(job, placement, sample_machine, now)
         machine.images.record(job.spec.image)
         self._job_table.complete_task(placement)
-        self._decommissioner.decommission(self._health.record_success(job, machine.id), UNHEALTHY_REASON)
+        self._decommissioner.decommission(self._health.record_success(job, placement), UNHEALTHY_REASON)
 
     def _release(self, machine: Machine, job: Job, outcome: TaskOutcome) -> None:
         placement, now = outcome.placement, self._context.now
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -43,7 +43,7 @@
 from meadowcross.leadership.reconciler import LOST_ATTEMPTS_MARGIN, Reconciler
 from meadowcross.leadership.replica_check import verify_replica
 from meadowcross.leadership.run_time_estimators import build_estimators
-from meadowcross.leadership.scheduling_loop import SchedulingLoop
+from meadowcross.leadership.scheduling_loop import PlacementParts, SchedulingLoop
 from meadowcross.leadership.scheduling_view import SchedulingView
 from meadowcross.leadership.state_loader import StateLoader, StateReader
 from meadowcross.leadership.task_outcomes import TaskOutcomeHandler
@@ -303,8 +303,7 @@
         self.scheduling_loop = SchedulingLoop(
             self.state,
             self._store,
-            self.scheduling_view,
-            self.preemption,
+            PlacementParts(self.scheduling_view, self.preemption, self.health),
             self.placement_writer,
             self.verification,
             self.pass_trigger,
--- a/meadowcross/placement/preemption.py
+++ b/meadowcross/placement/preemption.py
@@ -186,6 +186,10 @@
         self._attempts.pop(job_id, None)
         self._in_progress.discard(job_id)
 
+    def is_in_progress(self, job_id: JobId) -> bool:
+        """Return whether tasks that were stopped for the job are still ending."""
+        return job_id in self._in_progress
+
     def export_attempts(self, now: Instant) -> dict[JobId, tuple[Seconds, int]]:
         """Return the recent attempts for the next leader, by job: age and number of waiting tasks."""
         return {
--- a/tests/workers/test_health.py
+++ b/tests/workers/test_health.py
@@ -99,7 +99,7 @@
                 decommissioned |= set(tracker.record_failure(jobs[name], placement, now))
             else:
                 job_table.complete_task(placement)
-                decommissioned |= set(tracker.record_success(jobs[name], machine))
+                decommissioned |= set(tracker.record_success(jobs[name], placement))
         for deleted_machine in decommissioned:
             tracker.forget_machine(deleted_machine)
     assert "".join(sorted(decommissioned)) == faulty
