--- a/meadowcross/leadership/trial_placement.py
+++ b/meadowcross/leadership/trial_placement.py
@@ -19,6 +19,7 @@
     Reservation,
     has_sibling_traffic,
     has_topology_constraints,
+    is_kind_allowed,
     queue_order,
 )
 
@@ -48,8 +49,9 @@
     trials: dict[MachineId, Decision] = {}
     waiting = [pending_job for pending_job in inputs.pending_jobs if _may_have_trial(pending_job, inputs)]
     for candidate in machines:
-        waiting.sort(key=lambda pending_job: _trial_order(pending_job, candidate.machine, job_table))
-        for pending_job in waiting:
+        fitting = [pending_job for pending_job in waiting if _fits(pending_job, candidate)]
+        fitting.sort(key=lambda pending_job: _trial_order(pending_job, candidate.machine, job_table))
+        for pending_job in fitting:
             with ErrorBoundary("choosing a trial", job=pending_job.job_id, machine=candidate.machine):
                 decision = _place_trial(pending_job, candidate, inputs, weights)
                 if decision is not None:
@@ -60,11 +62,18 @@
 
 
 def _may_have_trial(pending_job: PendingJob, inputs: TrialInputs) -> bool:
-    """Return whether tasks of the job are left, and the known siblings include all tasks that it has placed."""
+    """Return whether tasks of the job are left, within its team's quota, and its siblings are known.
+
+    The siblings of a job do not include the tasks that this pass placed.
+    """
     placed_count = inputs.placed_counts.get(pending_job.job_id, 0)
-    if placed_count and has_topology_constraints(pending_job.spec):
+    if placed_count >= pending_job.task_count or (placed_count and has_topology_constraints(pending_job.spec)):
         return False
-    return placed_count < pending_job.task_count
+    return inputs.headroom_by_team[pending_job.spec.team].max_tasks(pending_job.spec) > 0
+
+
+def _fits(pending_job: PendingJob, candidate: Candidate) -> bool:
+    return is_kind_allowed(pending_job.spec, candidate.kind) and candidate.fits(pending_job.spec)
 
 
 class _TrialOrder(NamedTuple):
--- a/meadowcross/workers/quarantine.py
+++ b/meadowcross/workers/quarantine.py
@@ -24,9 +24,8 @@
 OUTLIVED_MARGIN_S: Seconds = 1.0
 """A task shows that its job runs well on its machine once it has run for OUTLIVED_FACTOR times the time that another
 task took to fail, plus OUTLIVED_MARGIN_S."""
-
-
 NEVER = Instant(0.0)
+"""Before any instant of a term."""
 
 
 def outlived_after_s(failed_after_s: Seconds) -> Seconds:
