Log each command's token, incarnation and attempts, and attempts that return after their release

Change: at debug a line for each request with direct commands, its answer, and each heartbeat response with commands; at error a line where a status shows an attempt again that this leader released or reaped; at info the counts of commands once a minute, and the revision in the line 'state loaded'. No decision changes.

--- a/meadowcross/leadership/heartbeat_handler.py
+++ b/meadowcross/leadership/heartbeat_handler.py
@@ -61,6 +61,7 @@
         self._lifecycle = state.lifecycle
         self._job_table = state.job_table
         self._worker_registry = state.worker_registry
+        self._command_log = state.command_log
         self._status_handler = status_handler
         self._autoscaler = autoscaler
         self._relay_pool = relay_pool
@@ -93,7 +94,10 @@
             machine.contact.last_heartbeat_at = self._context.now
             if self._relay_pool is not None and (node := self._relay_pool.assign_relay(machine, relay)) is not None:
                 return Redirect(node)
-        return HeartbeatResponse(token, heartbeat_commands(machine, self._job_table) if is_newest else [])
+        commands = heartbeat_commands(machine, self._job_table) if is_newest else []
+        if commands:
+            self._command_log.on_heartbeat_response(heartbeat, token, commands)
+        return HeartbeatResponse(token, commands)
 
     def is_repeatable(self, heartbeat: Heartbeat) -> bool:
         """Whether the same heartbeat, sent again, would get no command and change nothing."""
--- a/meadowcross/leadership/machine_status.py
+++ b/meadowcross/leadership/machine_status.py
@@ -40,6 +40,7 @@
     def __init__(self, state: TermState, collaborators: StatusCollaborators) -> None:
         self._context = state.context
         self._worker_registry = state.worker_registry
+        self._command_log = state.command_log
         self._scheduling_view = collaborators.scheduling_view
         self._machine_records = collaborators.machine_records
         self._verification = collaborators.verification
@@ -65,6 +66,7 @@
             machine.contact.silence_ended_at = self._context.now
         outcomes = self._worker_registry.apply_heartbeat(machine, heartbeat, self._context.now)
         if outcomes is not None and (machine.reported.stale or machine.reported.exited):
+            self._command_log.check_stale_tasks(heartbeat, machine.reported.stale)
             self._reconciler.reconcile(machine)
         has_just_confirmed = machine.proof.has_confirmed_token and not had_confirmed_token
         if has_just_confirmed:
--- a/meadowcross/leadership/maintenance_loop.py
+++ b/meadowcross/leadership/maintenance_loop.py
@@ -148,6 +148,7 @@
         self._scheduling_view = scheduling_view
         self._tasks = tasks
         self._pass_trigger = pass_trigger
+        self._command_log = state.command_log
         self._last_tick_at = self._last_descheduling_at = state.context.now
         self._ticker = LoopingCall(self.tick)
         self._ticker.clock = cast(IReactorTime, state.context.clock)
@@ -188,6 +189,8 @@
             tasks.reconciler.settle_orphaned_jobs()
         with ErrorBoundary("sampling running tasks"):
             tasks.run_sampler.sample_if_due()
+        with ErrorBoundary("logging the counts of commands"):
+            self._command_log.log_counts_if_due(self._context.token, self._context.now)
         with ErrorBoundary("descheduling service replicas"):
             self._deschedule_if_due()
         self._pass_trigger.schedule_pass()
--- a/meadowcross/leadership/placement_writer.py
+++ b/meadowcross/leadership/placement_writer.py
@@ -55,6 +55,7 @@
             DispatchHandlers(
                 self._forward_status, self.on_start_not_sent, self.may_start, transport.count_probing_nodes
             ),
+            state.command_log,
         )
         self.job_writer = JobWriter(
             state.context.clock,
--- a/meadowcross/leadership/task_outcomes.py
+++ b/meadowcross/leadership/task_outcomes.py
@@ -35,6 +35,7 @@
         self._context = state.context
         self._job_table = state.job_table
         self._worker_registry = state.worker_registry
+        self._command_log = state.command_log
         self._placement_writer = placement_writer
         self._health = health
         self._samples = samples
@@ -59,6 +60,7 @@
             machine.images.record(job.spec.image)
         else:
             self._worker_registry.unassign(placement, job.spec, self._context.now)
+            self._command_log.on_released(machine.id, str(placement.task), placement.attempt)
             if outcome.change is TaskChange.DONE:
                 self._complete(machine, job, placement)
             else:
--- a/meadowcross/leadership/term.py
+++ b/meadowcross/leadership/term.py
@@ -363,7 +363,7 @@
             self.hint_exchange.apply(self.hints)
         self.lifecycle.is_loaded = True
         self._begin_verification()
-        self._log_loaded()
+        self._log_loaded(revision)
         self._probe_machines()
         self.autoscaler.start()
         self.maintenance_loop.start()
@@ -417,17 +417,18 @@
             self.job_records.apply,
         )
 
-    def _log_loaded(self) -> None:
+    def _log_loaded(self, revision: Revision) -> None:
         machines = self.worker_registry.machines
         # `benchmarks.takeover` reads this line.
         log.info(
-            "state loaded term=%d jobs=%d machines=%d placements=%d replica=%s hints=%s",
+            "state loaded term=%d jobs=%d machines=%d placements=%d replica=%s hints=%s revision=%d",
             self.token,
             len(self.job_table.jobs),
             len(machines),
             sum(len(machine.placements) for machine in machines.values()),
             "followed" if self.state_reader.was_replica_followed else "read",
             "applied" if self.hints is not None else "none",
+            revision,
         )
 
     def _probe_machines(self) -> None:
--- a/meadowcross/leadership/term_context.py
+++ b/meadowcross/leadership/term_context.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from meadowcross.autoscaling.messages import MachineType
@@ -16,6 +16,7 @@
 from meadowcross.common.types import FencingToken, Instant
 from meadowcross.jobs.job_table import JobTable, Placement
 from meadowcross.store.messages import Condition
+from meadowcross.workers.command_log import CommandLog
 from meadowcross.workers.registry import WorkerRegistry
 
 log = get_logger("leadership")
@@ -90,6 +91,7 @@
     lifecycle: TermLifecycle
     job_table: JobTable
     worker_registry: WorkerRegistry
+    command_log: CommandLog = field(default_factory=CommandLog)
 
     def is_current_placement(self, key: object) -> bool:
         """Whether `key` is a placement that is neither completed nor released."""
--- a/meadowcross/workers/dispatcher.py
+++ b/meadowcross/workers/dispatcher.py
@@ -17,6 +17,7 @@
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import FencingToken, Instant, MachineId, Seconds, TaskId
 from meadowcross.jobs.job_table import JobTable, Placement, PlacementPhase
+from meadowcross.workers.command_log import CommandLog, SentCommands
 from meadowcross.workers.machine import Machine, TaskAttempt
 from meadowcross.workers.messages import (
     EXIT_DONE,
@@ -101,6 +102,7 @@
         registry: WorkerRegistry,
         token: FencingToken,
         handlers: DispatchHandlers,
+        command_log: CommandLog,
     ) -> None:
         """`token` is sent with each request; `send_commands` sends a request, either directly or through a relay."""
         self._clock = clock
@@ -108,6 +110,7 @@
         self._registry = registry
         self._token = token
         self._handlers = handlers
+        self._command_log = command_log
         self._starts: dict[MachineId, list[Placement]] = {}
         self._stops: dict[MachineId, dict[TaskAttempt, Placement]] = {}
         self._probe_requested_at: dict[MachineId, Instant] = {}
@@ -192,13 +195,20 @@
             return
         # A worker ignores a repeated start of an attempt that it has. The first request may still arrive, so its start
         # stays open, and the task is not reaped while it is.
-        commands = [_start_command(placement) for placement in startable + _unacknowledged_starts(machine, incarnation)]
-        commands += [_stop_command(placement) for placement in stops]
+        sent = SentCommands(
+            machine.id,
+            self._token,
+            incarnation,
+            starts=[_start_command(placement) for placement in startable],
+            repeated_starts=[_start_command(placement) for placement in _unacknowledged_starts(machine, incarnation)],
+            stops=[_stop_command(placement) for placement in stops],
+        )
         sent_starts = [TaskAttempt(placement.task, placement.attempt) for placement in startable]
         for placement in startable:
             placement.phase = PlacementPhase.SENT
         self._registry.record_starts_sent(machine, incarnation, sent_starts)
-        body = encode(DirectCommands(self._token, incarnation, commands))
+        self._command_log.on_sent(sent)
+        body = encode(DirectCommands(sent.token, incarnation, [*sent.starts, *sent.repeated_starts, *sent.stops]))
         try:
             response = await self._send_commands(machine, body)
         except ConnectionFailedError as error:
@@ -209,9 +219,9 @@
             # The starts stay open because they may be executed late: their tasks stay assigned to this machine until
             # the worker has a later incarnation or has seen a higher token.
             self._mark_unresponsive(machine)
-            log.info("no response to start commands machine=%s count=%d error=%s", machine.id, len(sent_starts), error)
+            self._command_log.on_unanswered(machine.id, sent.token, len(sent_starts), error)
         else:
-            self._handle_response(machine, incarnation, sent_starts, response)
+            self._handle_response(machine, sent, sent_starts, response)
 
     def _select_startable(self, machine: Machine, starts: list[Placement]) -> list[Placement]:
         """Return the starts that may be sent now; call `on_not_sent` for the other ones."""
@@ -235,7 +245,7 @@
             self._handlers.on_not_sent(placement)
 
     def _handle_response(
-        self, machine: Machine, incarnation: int, starts: list[TaskAttempt], response: ClientResponse
+        self, machine: Machine, sent: SentCommands, starts: list[TaskAttempt], response: ClientResponse
     ) -> None:
         if response.status not in (HTTP_OK, HTTP_CONFLICT):
             log.error("unexpected response to commands machine=%s status=%d", machine.id, response.status)
@@ -247,10 +257,12 @@
             log.error("malformed response to commands machine=%s error=%s", machine.id, error)  # noqa: TRY400
             return
         machine.contact.unresponsive_since = None
+        is_rejected = response.status == HTTP_CONFLICT
+        self._command_log.on_answered(sent.token, is_rejected, status)
         # 200: executed; 409: certainly not executed. In both cases the starts are no longer open.
         self._registry.close_starts(machine, starts)
         self._handlers.on_status(status)
-        if response.status == HTTP_CONFLICT and machine.proof.heartbeat_version.incarnation != incarnation:
+        if is_rejected and machine.proof.heartbeat_version.incarnation != sent.incarnation:
             self.probe(machine.id)
 
 
