--- a/simulation/machines.py
+++ b/simulation/machines.py
@@ -55,6 +55,18 @@
     timer: Any = None
 
 
+@dataclass(frozen=True, slots=True)
+class CommandCopies:
+    """Late copies of direct commands that a worker has executed and answered."""
+
+    share: float
+    """Share of the requests that are copied."""
+    delay_s: float
+    """Mean delay of a copy."""
+    count: int
+    """Copies of each of these requests."""
+
+
 class Gang:
     """One attempt of a gang, whose members start, save their progress and fail together."""
 
@@ -85,8 +97,13 @@
         """Copies of reports that the network keeps until the next leader is elected; None: it keeps none."""
         self.command_delay = (0.0, 0.0)
         """Share of delayed direct commands, and their mean delay in seconds; their senders get no response."""
+        self.command_copies: CommandCopies | None = None
+        """Copies of direct commands that the network delivers; None: no copies."""
+        self.find_machine: Callable[[str], Machine | None] = lambda _name: None
+        """Returns the worker that runs on a machine now, or None."""
         self.late: Counter[str] = Counter()
-        """Counts of delayed commands by outcome, of their starts of cancelled jobs, and of late copies of reports."""
+        """Counts of delayed commands and of copies by outcome, of the attempts that they started though the user had
+        cancelled, or though the worker had reaped them, and of late copies of reports."""
         self.delivery_client: HttpClient | None = None
         """Delivers the copies of reports, also of machines that are gone."""
 
@@ -98,6 +115,12 @@
                 lambda failure: failure.trap(ConnectionFailedError, NoResponseError)
             )
 
+    def deliver_command_copy(self, machine: str, body: bytes) -> None:
+        """Deliver a copy of direct commands to the worker that runs on the machine now, if any."""
+        worker = self.find_machine(machine)
+        if worker is not None:
+            worker.receive_command_copy(body)
+
     def deliver_kept_reports(self) -> None:
         """Deliver the kept copies to all nodes while the new leader loads the stored state, or soon after."""
         if self.kept_reports is None:
@@ -277,9 +300,31 @@
                 wait_s = delay_s * self._shared.simulation.random.uniform(0.2, 1.8)
                 self._reactor.callLater(wait_s, self._commanded, json.loads(body), True)
                 return Deferred()
-            return self._commanded(json.loads(body), False)
+            answer = self._commanded(json.loads(body), False)
+            self._copy_commands(body)
+            return answer
         return 200, self.report()
 
+    def _copy_commands(self, body: bytes) -> None:
+        """Let the network deliver copies of an answered request to whatever worker the machine has then."""
+        copies, random = self._shared.command_copies, self._shared.simulation.random
+        if copies is None or random.random() >= copies.share:
+            return
+        for _ in range(copies.count):
+            delay_s = copies.delay_s * random.uniform(0.2, 1.8)
+            self._shared.simulation.later(delay_s, lambda: self._shared.deliver_command_copy(self.machine["id"], body))
+
+    def receive_command_copy(self, body: bytes) -> None:
+        """Judge a copy of direct commands by token and incarnation, once the machine runs; nobody gets the answer."""
+        self._reactor.callLater(0.0, self._execute_copy, json.loads(body))
+
+    def _execute_copy(self, request: dict[str, Any]) -> None:
+        known = set(self.tasks)
+        status = 0 if self.deaf else self._commanded(request, False)[0]
+        late = self._shared.late
+        late["copies executed" if status == 200 else "copies refused"] += 1
+        late["attempts started by copies"] += len(self.tasks.keys() - known)
+
     def _commanded(self, request: dict[str, Any], late: bool) -> Answer:
         if "crook" not in request or "tenure" not in request:
             return 400, {}
--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -93,6 +93,7 @@
     "report_copies",
     "late_writes",
     "late_commands",
+    "command_copies",
     "cloud_outage",
     "machine_mute",
     "cancel_now",
@@ -120,7 +121,7 @@
     zone: str | None = None
     factor: Annotated[float, Meta(ge=0, le=1000)] | None = None
     share: Share | None = None
-    """Share of transactions or direct commands that are carried out late and get no response."""
+    """Share of transactions or direct commands that are carried out late and get no response, or are copied."""
     prefix: str | None = None
     what: Literal["all", "back", "prefix", "keys", "older"] | None = None
     """Lost data: everything; changes of the last `for_s`; keys with `prefix`; `count` keys; their latest versions."""
@@ -159,6 +160,7 @@
     "report_copies": ("for_s", "factor"),
     "late_writes": ("share", "for_s"),
     "late_commands": ("share", "for_s", "factor"),
+    "command_copies": ("share", "for_s", "factor"),
     "cloud_outage": ("for_s",),
     "capacity": ("factor", "for_s"),
     "store_loss": ("what",),
@@ -176,6 +178,7 @@
     "machine_back": ("zone", "anew"),
     "report_copies": ("for_next",),
     "late_writes": ("at_once",),
+    "command_copies": ("count",),
     "cancel_now": ("hang_s",),
     "store_loss": ("for_s", "prefix", "count"),
 }
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -16,7 +16,7 @@
 from meadowcross.controller.controller import Controller
 from meadowcross.store.rate_shares import LEADER_SHARE, follower_share
 from simulation.judge import Judge, Spec
-from simulation.machines import Machine, SharedState, UploadedJob
+from simulation.machines import CommandCopies, Machine, SharedState, UploadedJob
 from simulation.net import START, Cut, Host, Simulation
 from simulation.scenario import Fault, Jobs, Scenario
 from simulation.services import LATE_WRITE_DELAYS_S, SimulatedCloud, SimulatedStore
@@ -32,6 +32,8 @@
 MAX_HUNG_MACHINES = 8
 UNUSUAL_REQUESTS_INTERVAL_S = 0.5
 WAIT_CHECK_INTERVAL_S = 5.0
+DELAYED_KINDS = ("report_copies", "late_commands", "command_copies")
+"""Faults whose messages arrive up to twice `factor` seconds late."""
 SERVICE_HOSTS = ("state", "cloud", "users")
 """Hosts that are neither controllers nor machines."""
 
@@ -51,7 +53,7 @@
 
 def fault_end_at(fault: Fault) -> float:
     """When a fault and its delayed effects are over, in seconds from the start."""
-    delay_s = 2 * (fault.factor or 0.0) if fault.kind in ("report_copies", "late_commands") else 0.0
+    delay_s = 2 * (fault.factor or 0.0) if fault.kind in DELAYED_KINDS else 0.0
     delay_s = LATE_WRITE_DELAYS_S[1] if fault.kind == "late_writes" else delay_s
     back_s = fault.back_s if fault.back_s is not None else RESTART_AFTER_S
     return fault.at_s + (fault.for_s or 0.0) + (fault.hang_s or 0.0) + back_s + delay_s
@@ -84,6 +86,7 @@
         self.world = SharedState(self.simulation, self.judge, scenario.workers, self.api)
         self.world.on_start_commands = self._on_start_commands
         self.machines: dict[str, Machine] = {}
+        self.world.find_machine = self.machines.get
         self.takeovers: list[Takeover] = []
         self._leader_ended_at: float | None = None
         self._kill_after_writes: dict[str, int] = {}
@@ -418,6 +421,9 @@
             case "late_commands":
                 self.world.command_delay = (fault.share or 0.0, fault.factor or 0.0)
                 later(for_s, lambda: setattr(self.world, "command_delay", (0.0, 0.0)))
+            case "command_copies":
+                self.world.command_copies = CommandCopies(fault.share or 0.0, fault.factor or 0.0, fault.count or 1)
+                later(for_s, lambda: setattr(self.world, "command_copies", None))
             case "cloud_outage":
                 self.cloud.trouble = True
                 later(for_s, lambda: setattr(self.cloud, "trouble", False))
--- a/tests/support/combined_failures.py
+++ b/tests/support/combined_failures.py
@@ -30,7 +30,7 @@
 
 
 def draw_faults(seed: int) -> list[dict]:
-    """Five faults of MIX and eight of the list here; some of these start within five seconds after another fault."""
+    """Five of COMBINED_FAULTS, eight of the list here, some within five seconds after another, and command copies."""
     rng = random.Random(seed)
     refused_at_s, frozen_at_s = rng.uniform(25.0, 70.0), rng.uniform(20.0, 75.0)
     back_s = rng.choice([0.1, 0.6, 6.0])
@@ -61,11 +61,21 @@
         {"kind": "late_writes", "at_s": rng.uniform(10.0, 60.0), "for_s": 25.0, "share": 0.3, "at_once": True},
         {"kind": "report_copies", "at_s": 10.0, "for_s": 70.0, "factor": 1.0, "for_next": True},
     ]
+    # Drawn apart from the others, so that each seed keeps the faults that it had without copies.
+    copies_rng = random.Random(f"command copies {seed}")
+    command_copies = {
+        "kind": "command_copies",
+        "at_s": copies_rng.uniform(5.0, 40.0),
+        "for_s": 60.0,
+        "share": 0.5,
+        "factor": copies_rng.choice([1.0, 8.0, 25.0]),
+        "count": 2,
+    }
     # COMBINED_FAULTS has its counts for a cluster of fewer machines; here they are six times as high.
     scaled_kinds = {"machine_deaf", "machine_back"}
     return [
         fault | {"count": fault["count"] * 6} if fault["kind"] in scaled_kinds else fault
-        for fault in (*rng.sample(COMBINED_FAULTS, 5), *rng.sample(other_faults, 8))
+        for fault in (*rng.sample(COMBINED_FAULTS, 5), *rng.sample(other_faults, 8), command_copies)
     ]
 
 
