Heartbeats without an ended task cost as before the raised tokens

Cause: each heartbeat took the lock twice and built lists for reaps that few heartbeats need. Change: no token is computed for a reap without an exited task; released attempts are recorded once, as they are reaped.

--- a/meadowcross/leadership/task_outcomes.py
+++ b/meadowcross/leadership/task_outcomes.py
@@ -12,7 +12,7 @@
 from meadowcross.workers.health import FailureTracker
 from meadowcross.workers.machine import Machine
 from meadowcross.workers.messages import EXIT_ERROR, EXIT_NO_ROOM, EXIT_UNKNOWN_JOB
-from meadowcross.workers.registry import TaskChange, TaskOutcome
+from meadowcross.workers.registry import EXIT_LOST, TaskChange, TaskOutcome
 
 log = get_logger("leadership")
 
@@ -60,7 +60,8 @@
             machine.images.record(job.spec.image)
         else:
             self._worker_registry.unassign(placement, job.spec, self._context.now)
-            self._command_log.on_released(machine.id, str(placement.task), placement.attempt)
+            if outcome.exit_reason == EXIT_LOST:
+                self._command_log.on_released(machine.id, str(placement.task), placement.attempt)
             if outcome.change is TaskChange.DONE:
                 self._complete(machine, job, placement)
             else:
--- a/meadowcross/workers/command_log.py
+++ b/meadowcross/workers/command_log.py
@@ -40,7 +40,7 @@
 
 
 class ReleasedAttempt(NamedTuple):
-    """An attempt that was reaped, or whose placement was released or completed."""
+    """An attempt that was reaped, or released since its machine did not report it any more."""
 
     machine: MachineId
     task: str
@@ -104,15 +104,14 @@
         log.info("no response to start commands machine=%s count=%d error=%s", machine, starts, error)
         log.debug("commands unanswered machine=%s token=%d", machine, token)
 
-    def on_heartbeat_response(self, heartbeat: Heartbeat, token: FencingToken, commands: Iterable[Command]) -> None:
+    def on_heartbeat_response(self, heartbeat: Heartbeat, token: FencingToken, commands: Sequence[Command]) -> None:
         """Record the commands in the response to a heartbeat."""
-        stops = [command for command in commands if command.op == "stop"]
         reaps = [command for command in commands if command.op == "reap"]
-        self.counts[CommandEvent.STOP] += len(stops)
+        self.counts[CommandEvent.STOP] += len(commands) - len(reaps)
         self.counts[CommandEvent.REAP] += len(reaps)
         for command in reaps:
             self.on_released(heartbeat.machine, command.task, command.attempt)
-        if (stops or reaps) and log.isEnabledFor(DEBUG):
+        if log.isEnabledFor(DEBUG):
             log.debug(
                 "heartbeat answered machine=%s token=%d incarnation=%d sequence=%d seen_token=%d stops=%s reaps=%s",
                 heartbeat.machine,
@@ -120,7 +119,7 @@
                 heartbeat.incarnation,
                 heartbeat.seq,
                 heartbeat.token,
-                _attempts(stops),
+                _attempts(command for command in commands if command.op == "stop"),
                 _attempts(reaps),
             )
 
--- a/meadowcross/workers/heartbeat_commands.py
+++ b/meadowcross/workers/heartbeat_commands.py
@@ -18,9 +18,11 @@
 
 def respond_to_heartbeat(machine: Machine, job_table: JobTable, registry: WorkerRegistry) -> HeartbeatResponse:
     """Return the response to a heartbeat, according to the newest status of its machine."""
+    commands = _stop_commands(machine)
+    if not machine.reported.exited:
+        return HeartbeatResponse(registry.token_for(machine), commands)
     finished = [task for task in machine.reported.exited if _is_result_safe(task, job_table)]
     token = registry.token_to_reap(machine, [_attempt_of(task) for task in finished])
-    commands = _stop_commands(machine)
     commands += [
         Command("reap", task.task, task.attempt)
         for task in finished
--- a/meadowcross/workers/registry.py
+++ b/meadowcross/workers/registry.py
@@ -114,7 +114,7 @@
 
     def token_for(self, machine: Machine) -> FencingToken:
         """Return the token for the next message to the worker: the term's, or a higher one that it was given."""
-        return max(self.token, machine.proof.fence.issued_token)
+        return machine.proof.fence.issued_token or self.token
 
     def token_to_reap(self, machine: Machine, attempts: list[TaskAttempt]) -> FencingToken:
         """Return the token for a response that reaps these attempts, raised if one of them could be started again.
@@ -124,9 +124,10 @@
         """
         with self._lock:
             proof, token = machine.proof, self.token_for(machine)
-            if not proof.has_request_in_flight and any(not proof.fence.may_reap(start, token) for start in attempts):
-                proof.fence.issued_token = max(token, self.tokens.issuable)
-            return self.token_for(machine)
+            if proof.has_request_in_flight or all(proof.fence.may_reap(start, token) for start in attempts):
+                return token
+            proof.fence.issued_token = max(token, self.tokens.issuable)
+            return proof.fence.issued_token
 
     def record_starts_sent(self, machine: Machine, incarnation: int, starts: list[TaskAttempt]) -> None:
         """Record starts that are about to be sent; until they are closed, no status proves their attempts gone."""
@@ -193,7 +194,8 @@
                 # The worker may still execute commands of an earlier leader, so the status proves nothing.
                 return None
             proof.has_confirmed_token = True
-            proof.fence.issued_token = max(proof.fence.issued_token, heartbeat.token)
+            if heartbeat.token > proof.fence.issued_token:
+                proof.fence.issued_token = heartbeat.token
             if heartbeat.tasks == proof.reconciled_tasks:
                 # Most heartbeats of a large fleet only renew the worker lease.
                 return []
