--- a/loadtest/verdict.py
+++ b/loadtest/verdict.py
@@ -48,7 +48,7 @@
         self.lost = Counter[str]()
         self.takeovers: list[Takeover] = []
         self._tokens: dict[str, int] = {}
-        self._token_times: dict[int, list[float]] = {}
+        self._seen_tokens: list[e.TokenSeen] = []
         self._kills: list[tuple[Takeover, float, int, int]] = []
 
     def play(self, events: Iterator[e.Event]) -> None:
@@ -98,7 +98,7 @@
                     self.takeovers[-1].first_start_s = round(event.at - self._kills[-1][1], 3)
             case e.TokenSeen():
                 self._tokens[event.machine] = event.token
-                self._token_times.setdefault(event.token, []).append(event.at)
+                self._seen_tokens.append(event)
 
     def _task_on(self, event: e.TaskOn) -> None:
         if event.machine in self._deleted:
@@ -114,13 +114,11 @@
         self.judge.task_off(job, number, machine, reason)
 
     def _measure_token_times(self, takeover: Takeover, killed_at: float, old_token: int, workers: int) -> None:
-        times = sorted(
-            at
-            for token, received_at in self._token_times.items()
-            if token > old_token
-            for at in received_at
-            if at >= killed_at
-        )
+        first_seen_at: dict[str, float] = {}
+        for seen in self._seen_tokens:
+            if seen.token > old_token and seen.at >= killed_at:
+                first_seen_at.setdefault(seen.machine, seen.at)
+        times = sorted(first_seen_at.values())
         if workers and len(times) >= 0.99 * workers:
             takeover.half_of_workers_s = round(times[workers // 2] - killed_at, 3)
             takeover.all_workers_s = round(times[int(0.99 * workers) - 1] - killed_at, 3)
--- a/tests/loadtest/test_loadtest.py
+++ b/tests/loadtest/test_loadtest.py
@@ -127,6 +127,20 @@
     assert (takeover.elected_s, takeover.first_start_s, takeover.all_workers_s) == (1.0, 1.5, 2.0)
 
 
+def test_worker_whose_token_was_raised_again_counts_once_for_a_takeover():
+    events = [
+        e.TokenSeen(1.0, "i-000000", 5),
+        e.TokenSeen(1.0, "i-000001", 5),
+        e.Killed(4.0, "n0", True),
+        e.TokenSeen(6.0, "i-000000", 9),
+        e.TokenSeen(6.5, "i-000000", 11),
+        e.TokenSeen(8.0, "i-000001", 9),
+    ]
+    replay = Replay(load(str(SHORT)), 0.0)
+    replay.play(iter(events))
+    assert replay.takeovers[0].half_of_workers_s == 4.0
+
+
 def test_enlarged_site_file_differs_in_its_counts_only():
     site = 'name = "s"\n[nodes]\ncount = 3\n[[capacity]]\ncount = 10\nspot = 4\n[[jobs]]\ninitial = 2\n'
     site += "arrivals = { rate = 0.5, start_s = 5.0 }\n[[targets]]\ncount = 0\n"
