--- a/simulation/machines.py
+++ b/simulation/machines.py
@@ -74,7 +74,6 @@
         self.members: dict[int, Machine] = {}
         self.running = False
         self.stopping = False
-        self.broken = False
         self.stop_received_by: set[int] = set()
         """Numbers of the members that received the stop command."""
 
@@ -155,6 +154,7 @@
         self._nodes = sorted(shared.nodes)
         self._node = shared.simulation.random.choice(self._nodes)
         self.fails_tasks = False
+        """Whether each task that starts on it fails half a second later."""
         self.deaf = False
         """Whether its reports arrive while responses and commands don't reach it."""
         self.mute = False
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -34,6 +34,8 @@
 WAIT_CHECK_INTERVAL_S = 5.0
 DELAYED_KINDS = ("report_copies", "late_commands", "command_copies")
 """Faults whose messages arrive up to twice `factor` seconds late."""
+MACHINE_FLAGS = {"machine_deaf": "deaf", "machine_mute": "mute", "machine_faulty": "fails_tasks"}
+"""The attribute of a machine that a fault sets while it lasts."""
 SERVICE_HOSTS = ("state", "cloud", "users")
 """Hosts that are neither controllers nor machines."""
 
@@ -111,7 +113,7 @@
         for jobs in scenario.jobs:
             for number in range(jobs.count):
                 count += 1
-                self._submit(jobs, f"wk-{count:06d}", jobs.at_s + number * jobs.every_s, count)
+                self._submit(jobs, f"wk-{count:06d}", jobs.at_s + number * jobs.every_s)
 
     def _collect_garbage(self) -> None:
         gc.collect()
@@ -285,7 +287,7 @@
 
     # Users
 
-    def _submit(self, jobs: Jobs, name: str, at: float, number: int) -> None:
+    def _submit(self, jobs: Jobs, name: str, at: float) -> None:
         spec = {
             "id": name,
             "herd": jobs.job_class,
@@ -389,8 +391,8 @@
             case "machine_cut":
                 machines = self._sample_machines(fault)
                 simulation.add_cut(Cut(machines, set(simulation.hosts) - set(machines), fault.mode), fault.for_s)
-            case "machine_deaf" | "machine_mute":
-                flag = fault.kind.removeprefix("machine_")
+            case "machine_deaf" | "machine_mute" | "machine_faulty":
+                flag = MACHINE_FLAGS[fault.kind]
                 for name in self._sample_machines(fault):
                     machine = self.machines[name]
                     setattr(machine, flag, True)
--- a/tests/simulation/test_late_command_copies.py
+++ b/tests/simulation/test_late_command_copies.py
@@ -30,7 +30,8 @@
     ("copies within a second", 0.5, [node_kill(30.0, 0.2)], {}),
     ("copies after most of the day", 45.0, [node_kill(30.0, 0.2)], {}),
     ("through relays", 8.0, [node_kill(30.0, 0.2)], {"relays": "always"}),
-    ("failing machines", 8.0, [{"kind": "machine_hang", "at_s": 25.0, "count": 3, "for_s": 7.0}], {}),
+    ("hung machines", 8.0, [{"kind": "machine_hang", "at_s": 25.0, "count": 3, "for_s": 7.0}], {}),
+    ("quarantined machines", 8.0, [{"kind": "machine_faulty", "at_s": 20.0, "count": 3, "for_s": 12.0}], {}),
     ("restarted workers", 8.0, [{"kind": "machine_back", "at_s": 30.0, "count": 2, "back_s": 0.2, "anew": False}], {}),
 ]
 
