--- a/meadowcross/common/types.py
+++ b/meadowcross/common/types.py
@@ -11,7 +11,8 @@
 Address = NewType("Address", str)
 """`host:port`, as in the settings and in the machine list."""
 FencingToken = NewType("FencingToken", int)
-"""Fencing token of a leader: the store epoch, and the revision at which the leader key was created in that epoch."""
+"""Fencing token of a leader: the store epoch, and a revision in it. That of the leader key identifies the term; a
+worker may be given a later one of the same term, see `meadowcross.workers.fencing`."""
 Attempt = NewType("Attempt", int)
 """Number of an attempt to run a task, from 1; the tasks of a gang have the same number."""
 Revision = NewType("Revision", int)
@@ -35,7 +36,7 @@
 
 
 def compose_token(store_epoch: int, revision: Revision) -> FencingToken:
-    """Return the token of the leader whose key was created at `revision` in `store_epoch`."""
+    """Return the token of `revision`, that of a leader key or of a later transaction of its term, in `store_epoch`."""
     return FencingToken((store_epoch << REVISION_BITS) + revision)
 
 
@@ -45,7 +46,7 @@
 
 
 def revision_of(token: FencingToken) -> Revision:
-    """Return the revision of the leader key from which the token was composed."""
+    """Return the revision from which the token was composed; for the token of a term, that of its leader key."""
     return Revision(token & ((1 << REVISION_BITS) - 1))
 
 
--- a/meadowcross/workers/fencing.py
+++ b/meadowcross/workers/fencing.py
@@ -71,7 +71,7 @@
     """What a worker has been given and has shown, and the starts that it would still execute."""
 
     issued_token: FencingToken = NO_TOKEN
-    """The highest token of this term that was sent to the worker; `NO_TOKEN` before it was raised."""
+    """The highest token of this term that the worker was given for a reap, or has shown; `NO_TOKEN` before either."""
     shown_token: FencingToken = NO_TOKEN
     """The highest token that a status of the worker has carried."""
     executable_starts: dict[TaskAttempt, SentStart] = field(default_factory=dict)
