--- a/review/lib2/cluster.py
+++ b/review/lib2/cluster.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any, NoReturn
 
+from lib2.proxy import Proxy
 from lib2.region import Cloud, State
 from lib2.wire import HOST, Answer, call, free_ports, serve
 from lib2.workers import Worker
@@ -100,12 +101,16 @@
             "write_rps": 80.0,
             **facts,
         }
+        self.teams = f'[[facts.teams]]\nname = "listings"\ncpus = 0.0\ncpus_max = {self.facts["cpus_max"]}\n'
+        """The teams, as in the settings."""
         self.state = State()
         self.workers: dict[str, Worker] = {}
         self.cloud = Cloud(types, self._rent, self._delete)
         self.run_s: Callable[[str], float] = lambda _head: 2.0
         self.ports = dict(zip(NODES, free_ports(3), strict=True))
         self._peer_ports = dict(zip(NODES, free_ports(3), strict=True))
+        self.peer_proxies = {node: Proxy(port) for node, port in self._peer_ports.items()}
+        """Connections of other controllers to a node pass through its proxy."""
         self._cloud_ports = {node: serve(self.cloud.answer_for(node)) for node in NODES}
         self._state_port = serve(self.state.answer)
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
@@ -129,7 +134,7 @@
     def _settings(self, node: str) -> str:
         facts = self.facts
         peers = "".join(
-            f'[[peers]]\nhost_name = "{peer}"\nzone = "{zone}"\nendpoint = "{HOST}:{self._peer_ports[peer]}"\n'
+            f'[[peers]]\nhost_name = "{peer}"\nzone = "{zone}"\nendpoint = "{HOST}:{self.peer_proxies[peer].port}"\n'
             for peer, zone in zip(NODES, ZONES, strict=True)
             if peer != node
         )
@@ -138,7 +143,7 @@
             f'api_addr = "{HOST}:{self.ports[node]}"\npeer_bind = "{HOST}:{self._peer_ports[node]}"\n{peers}'
             f'[outside]\ncloud = "{HOST}:{self._cloud_ports[node]}"\nstate = "{HOST}:{self._state_port}"\n'
             '[facts]\ninitial_size = 3\nzones = ["menai", "taff"]\nclock_off_ms = 5.0\n'
-            f'[[facts.teams]]\nname = "listings"\ncpus = 0.0\ncpus_max = {facts["cpus_max"]}\n'
+            f"{self.teams}"
             f"[facts.workers]\nreport_s = {facts['report_s']}\nlease_s = {facts['lease_s']}\n"
             f"gang_wait_s = 50.0\ngang_peer_s = 8.0\ncancel_s = {facts['cancel_s']}\n"
             f"[facts.state]\nrps = {facts['rps']}\nwrite_rps = {facts['write_rps']}\nvalue_kb = 16.0\ntxn_ops = 24\n"
@@ -257,6 +262,8 @@
     """Run a case and exit: `case` gets the record and whether to make trouble, and returns what broke, or None."""
     record = Record(Path(folder) / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # So that a case that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: cannot_run("ended by a signal"))
     code = COULD_NOT_RUN
     try:
         broken = case(record, has_trouble)
--- a/review/lib2/workers.py
+++ b/review/lib2/workers.py
@@ -83,6 +83,12 @@
         with self._lock:
             return not self._is_gone and all(task.cause is not None for task in self._tasks.values())
 
+    def running_count(self) -> int:
+        """Return the number of tasks that run here, without those that wait for their image."""
+        now = time.monotonic()
+        with self._lock:
+            return sum(task.cause is None and now >= task.runs_from for task in self._tasks.values())
+
     def delete(self) -> None:
         """End the machine with all that is on it."""
         with self._lock:
