--- a/review/lib2/users.py
+++ b/review/lib2/users.py
@@ -123,4 +123,4 @@
             if self.request("GET", f"/v1/jobs/{job_id}")[0] == 200:
                 self.answered += 1
                 self.answered_at = time.monotonic()
-            time.sleep(POLL_S * random.uniform(0.9, 1.1))
+            time.sleep(max(0.0, min(POLL_S * random.uniform(0.9, 1.1), until - time.monotonic())))
