--- a/meadowcross/autoscaling/scale_out.py
+++ b/meadowcross/autoscaling/scale_out.py
@@ -17,6 +17,7 @@
 from meadowcross.autoscaling.kind_availability import KindAvailability
 from meadowcross.autoscaling.messages import MAX_MACHINES_PER_CREATION, MachineType
 from meadowcross.autoscaling.sizing import IncomingCapacity, ScaleOutRequest, plan_scale_out
+from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.logging import get_logger
 from meadowcross.common.types import Instant, MachineId, MachineKind, Seconds
 
@@ -79,12 +80,9 @@
         if not self._context.is_running or not self._context.host.has_valid_lease():
             return
         started_at = self._context.now
-        try:
+        with ErrorBoundary("scaling out for new jobs"):
             self._demand.update()
             self.run()
-        except Exception:
-            # The next tick tries again.
-            log.exception("scale-out for new jobs failed")
         self._last_run_s = self._context.now - started_at
 
     def run(self) -> None:
--- a/meadowcross/leadership/scheduling_loop.py
+++ b/meadowcross/leadership/scheduling_loop.py
@@ -73,7 +73,8 @@
         if self._verification.is_state_complete():
             with ErrorBoundary("placement pass"):
                 self._place_pending_jobs(started_at)
-        self._placement_writer.job_writer.enqueue_dirty_chunks()
+        with ErrorBoundary("queueing changed chunks"):
+            self._placement_writer.job_writer.enqueue_dirty_chunks()
         self._pass_trigger.last_pass_s = self._context.now - started_at
 
     def _place_pending_jobs(self, started_at: Instant) -> None:
--- a/tests/common/test_error_boundary.py
+++ b/tests/common/test_error_boundary.py
@@ -61,3 +61,15 @@
     clock.pump([1.0, 1.0])
     loop.stop()
     assert calls == [0.0, 1.0, 2.0]
+
+
+def test_slow_step_is_logged_with_its_job(monkeypatch, caplog):
+    """Guards against a leader that loses its lease in one long step, of which no line says which job it was for."""
+    monkeypatch.setattr("meadowcross.common.error_boundary.perf_counter", iter([10.0, 12.5, 20.0, 20.1]).__next__)
+    with caplog.at_level(logging.INFO, "common.steps"):
+        with ErrorBoundary("choosing machines", job="wk-000001"):
+            pass
+        with ErrorBoundary("choosing machines", job="wk-000002"):
+            pass
+    lines = [record.getMessage() for record in caplog.records]
+    assert lines == ['slow step activity="choosing machines" job=wk-000001 machine=None elapsed_s=2.50']
