--- a/meadowcross/autoscaling/sizing.py
+++ b/meadowcross/autoscaling/sizing.py
@@ -10,6 +10,7 @@
 
 from msgspec.structs import replace
 
+from meadowcross.autoscaling.even_distribution import distribute_evenly
 from meadowcross.autoscaling.machine_kinds import kind_price, list_machine_kinds
 from meadowcross.autoscaling.messages import MachineType
 from meadowcross.common.error_boundary import ErrorBoundary
@@ -145,24 +146,21 @@
 
 
 def _spread_over_zones(demand: CapacityDemand, slots_by_zone: dict[str, int]) -> dict[str, int]:
-    """Assign each task to a zone with incoming capacity left, then to the zone with the fewest of the job's tasks.
+    """Assign tasks to zones with incoming capacity while that lasts, then to all zones, as evenly as possible.
 
-    No zone gets more than half of all the job's tasks, rounded up.
+    The totals that become even include the job's tasks that count in a zone already. No zone gets more than half of all
+    the job's tasks, rounded up.
     """
-    counts_by_zone = dict.fromkeys(slots_by_zone, 0)
     max_per_zone = (demand.spec.tasks + 1) // 2
-    for _ in range(min(demand.task_count, 2 * max_per_zone)):
-        total_by_zone = {
-            zone: demand.placed_by_zone.get(zone, 0) + assigned for zone, assigned in counts_by_zone.items()
-        }
-        zones_below_maximum = [zone for zone in counts_by_zone if total_by_zone[zone] < max_per_zone]
-        if not zones_below_maximum:
-            break
-        best_option = min(
-            (slots_by_zone[zone] <= counts_by_zone[zone], total_by_zone[zone], zone) for zone in zones_below_maximum
-        )
-        counts_by_zone[best_option[-1]] += 1
-    return counts_by_zone
+    placed_by_zone = demand.placed_by_zone
+    rooms = {zone: max(0, max_per_zone - placed_by_zone.get(zone, 0)) for zone in slots_by_zone}
+    count = min(demand.task_count, 2 * max_per_zone)
+    rooms_in_incoming = {zone: min(room, slots_by_zone[zone]) for zone, room in rooms.items()}
+    in_incoming = distribute_evenly(placed_by_zone, rooms_in_incoming, count)
+    totals = {zone: placed_by_zone.get(zone, 0) + assigned for zone, assigned in in_incoming.items()}
+    rooms_left = {zone: room - in_incoming[zone] for zone, room in rooms.items()}
+    in_new_machines = distribute_evenly(totals, rooms_left, count - sum(in_incoming.values()))
+    return {zone: in_incoming[zone] + in_new_machines[zone] for zone in slots_by_zone}
 
 
 def estimate_cost(
