--- a/meadowcross/placement/scoring.py
+++ b/meadowcross/placement/scoring.py
@@ -37,6 +37,18 @@
     return -cost
 
 
+def grouped_network_term(machine_count: int, zone_count: int, total_count: int, weights: OperatorSettings) -> float:
+    """Return the network term from the numbers of siblings on the machine, in its zone with the machine, and in all.
+
+    It is the sum of `network_term`, except for the rounding of costs that have no exact binary form.
+    """
+    return -(
+        machine_count * weights.cost_same_machine
+        + (zone_count - machine_count) * weights.cost_same_zone
+        + (total_count - zone_count) * weights.cost_across_zones
+    )
+
+
 def score(
     spec: JobSpec, candidate: Candidate, siblings: dict[MachineId, tuple[str, int]], weights: OperatorSettings
 ) -> float:
