Measure the steps of a leader for one job, by its kind, constraint and tasks

The meter has a module of its own, and the autoscaler's tick is public as the maintenance loop's is.

--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -3,7 +3,8 @@
 `python3 -m benchmarks.cost [--sizes 50,500] [--json]` builds a leader's term for each size, in a process of its own,
 with simulated services on a fake clock, all machines running and jobs waiting. It measures the processor time of single
 operations, without that of the simulated services. The figures are for a whole core of this machine; for a
-deployment that has a share of a core, divide them by the share.
+deployment that has a share of a core, divide them by the share. `--job-tasks` measures the steps for one job by its
+tasks instead (`benchmarks/job_cost.py`).
 """
 
 from __future__ import annotations
@@ -14,14 +15,15 @@
 import logging
 import subprocess
 import sys
-import time
-from collections.abc import Callable
 from statistics import median_high
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
 from msgspec import to_builtins
 
+from benchmarks import job_cost
+from benchmarks.meter import Meter
+
 SIZES = (50, 125, 250, 500, 1000, 2000)
 TASKS_PER_MACHINE = 8
 """Tasks that run on each machine at the start."""
@@ -96,31 +98,6 @@
     world.cloud.full = True
 
 
-class Meter:
-    """Measures processor time without that of the simulated services."""
-
-    def __init__(self, world: Any) -> None:
-        self.services_s = 0.0
-        handlers = {host: self._timed(handle) for host, handle in world.net.hosts.items()}
-        world.net.hosts.update(handlers)
-
-    def _timed(self, handle: Callable[..., Any]) -> Callable[..., Any]:
-        def timed(*arguments: Any) -> Any:
-            began_s = time.process_time()
-            try:
-                return handle(*arguments)
-            finally:
-                self.services_s += time.process_time() - began_s
-
-        return timed
-
-    def measure(self, work: Callable[[], Any]) -> float:
-        """Runs `work`; returns the seconds of processor time that it took."""
-        services_before_s, began_s = self.services_s, time.process_time()
-        work()
-        return time.process_time() - began_s - (self.services_s - services_before_s)
-
-
 def measure(machines: int) -> dict[str, float]:
     """One row of the table, in the units of HEADINGS."""
     from meadowcross.autoscaling.messages import encode
@@ -187,7 +164,7 @@
 
     # From here on, each pass is run explicitly: ticks would run additional passes.
     term.maintenance_loop.stop()
-    term.autoscaler._tick.stop()
+    term.autoscaler.stop()
     settle()
     idle_passes = [meter.measure(term.scheduling_loop.run_pass) for _ in range(ROUNDS)]
     ticks = [meter.measure(term.maintenance_loop.tick) for _ in range(ROUNDS)]
@@ -222,7 +199,7 @@
             passes[count].append(meter.measure(term.scheduling_loop.run_pass))
             assert term.job_table.jobs[spec["id"]].waiting_count == 0, "not placed"
             settle()
-    fleet_ticks = [meter.measure(term.autoscaler._on_tick) for _ in range(ROUNDS)]
+    fleet_ticks = [meter.measure(term.autoscaler.tick) for _ in range(ROUNDS)]
 
     before = [_count_requests(world), _count_changes(world)]
     rounds, task_count = 5, 10
@@ -275,6 +252,8 @@
     """The parser of the command line."""
     parser = argparse.ArgumentParser(prog="python3 -m benchmarks.cost", description="A leader's costs against size.")
     parser.add_argument("--sizes", default=",".join(map(str, SIZES)), help="numbers of machines, at least 50 each")
+    parser.add_argument("--job-tasks", help="numbers of tasks of one job: measures the steps for it instead")
+    parser.add_argument("--machines", type=int, default=200, help="machines for --job-tasks")
     parser.add_argument("--json", action="store_true", help="one object a size instead of a table")
     parser.add_argument("--here", action="store_true", help="in this process: the first size only, for profiling")
     return parser
@@ -285,9 +264,13 @@
     options = build_parser().parse_args(arguments)
     try:
         sizes = [int(size) for size in options.sizes.split(",")]
+        job_tasks = [int(tasks) for tasks in options.job_tasks.split(",")] if options.job_tasks else []
     except ValueError:
-        print(f"benchmarks.cost: --sizes takes whole numbers, not {options.sizes!r}", file=sys.stderr)
+        print("benchmarks.cost: --sizes and --job-tasks take whole numbers", file=sys.stderr)
         return 2
+    if job_tasks:
+        job_cost.print_table(job_tasks, options.machines)
+        return 0
     if min(sizes) < 50:
         print("benchmarks.cost: --sizes are at least 50", file=sys.stderr)
         return 2
--- a/meadowcross/autoscaling/autoscaler.py
+++ b/meadowcross/autoscaling/autoscaler.py
@@ -53,8 +53,8 @@
         host: AutoscalerHost,
     ) -> None:
         self._host = host
-        self._tick = LoopingCall(self._on_tick)
-        self._tick.clock = clock  # type: ignore[assignment]
+        self._ticker = LoopingCall(self.tick)
+        self._ticker.clock = clock  # type: ignore[assignment]
         self.boot_times = BootTimeEstimator()
         self._context = context = AutoscalerContext(
             clock=clock,
@@ -62,7 +62,7 @@
             operator=operator,
             machine_types=machine_types,
             host=host,
-            ticker=self._tick,
+            ticker=self._ticker,
             boot_times=self.boot_times,
             is_cost_sensitive=may_wait_for_cheaper_capacity(settings.facts.objectives),
             started_at=Instant(clock.seconds()),
@@ -80,12 +80,12 @@
         """Start ticking; the first tick runs at once."""
         self._context.started_at = self._context.now
         self._scale_out.start()
-        self._tick.start(TICK_INTERVAL_S)
+        self._ticker.start(TICK_INTERVAL_S)
 
     def stop(self) -> None:
         """Stop ticking. Requests in flight end by themselves, and their responses are ignored."""
-        if self._tick.running:
-            self._tick.stop()
+        if self._ticker.running:
+            self._ticker.stop()
 
     def export_state(self) -> AutoscalerState:
         """Return the state that the next leader imports."""
@@ -130,7 +130,7 @@
         """Take the machine out of use and delete it; the deletion proves that its tasks are gone."""
         self._decommissioner.decommission(machine, reason)
 
-    def _on_tick(self) -> None:
+    def tick(self) -> None:
         """Run all steps; one that fails does not keep the others from running, and is tried again at the next tick."""
         if not self._host.has_valid_lease():
             # Another node may lead and receive the heartbeats: without heartbeats here, machines may still be busy.
--- a/tests/benchmarks/test_benchmarks.py
+++ b/tests/benchmarks/test_benchmarks.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from benchmarks import bounds, cancels, cost, day, history, learning, recovery, served, takeover, tickets
+from benchmarks import bounds, cancels, cost, day, history, job_cost, learning, recovery, served, takeover, tickets
 from benchmarks.day import attribute_costs, read_day
 
 FACTS = """
@@ -135,6 +135,11 @@
     assert out == "" and error.count("\n") == 1 and message in error
 
 
+def test_steps_for_one_job_are_measured_by_its_tasks():
+    seconds = job_cost.measure("gang, spread", 20, 4)
+    assert set(seconds) == set(job_cost.STEPS) and min(seconds.values()) >= 0 and seconds["pass"] > 0
+
+
 @pytest.mark.parametrize("sizes", ["many", "10", ""])
 def test_invalid_sizes_are_rejected(sizes, capsys):
     assert cost.main(["--sizes", sizes]) == 2
