Descheduling a service with many replicas no longer holds the reactor

Tests: tests/placement/test_descheduler.py; both tests that count lines fail before the fix, and so does the one that a machine's free amounts are left as they were.

--- a/meadowcross/leadership/scheduling_view.py
+++ b/meadowcross/leadership/scheduling_view.py
@@ -364,10 +364,9 @@
         return replicas
 
     def _movable_replicas_of(self, job: Job, shared: _SharedInputs) -> list[ServiceReplica]:
+        pending_job = self._pending_job(job, shared)
         return [
-            ServiceReplica(
-                placement, self._pending_job(job, shared), placement.machine, shared.now - placement.running_at
-            )
+            ServiceReplica(placement, pending_job, placement.machine, shared.now - placement.running_at)
             for placement in job.placements.values()
             if placement.phase is PlacementPhase.RUNNING
             and placement.running_at is not None
