Compare the machine of a service's replicas once for all replicas there

What holds for one replica holds for all of its job on the same machine, so the time of the comparisons grows with machines in use. The drawn inputs of tests/placement/test_descheduler.py choose the same replicas.

--- a/meadowcross/placement/descheduler.py
+++ b/meadowcross/placement/descheduler.py
@@ -43,6 +43,7 @@
     """
     by_machine = {candidate.machine: candidate for candidate in candidates}
     best_machines = _BestMachines(by_machine.values(), weights)
+    compared: set[tuple[JobId, MachineId]] = set()
     selected: dict[JobId, ServiceReplica] = {}
     for replica in replicas:
         current_candidate = by_machine.get(replica.machine)
@@ -53,6 +54,11 @@
             or usage.get(replica.machine, 0.0) * 100 <= weights.move_usage_percent
         ):
             continue
+        # What holds for one replica holds for all of its job on the same machine.
+        pair = (replica.pending_job.job_id, replica.machine)
+        if pair in compared:
+            continue
+        compared.add(pair)
         with ErrorBoundary("looking for a better machine", job=replica.pending_job.job_id):
             if _has_better_machine(replica.pending_job.spec, current_candidate, best_machines, weights):
                 selected[replica.pending_job.job_id] = replica
