An eviction notice under a large gang no longer holds the reactor

Cause: each member on the machine listed the evictions of all members, which are the same for each of them.

Fix: one member plans for its gang, so the time grows with the members only.

Test: test_eviction_notice_for_a_large_gang_does_not_take_its_members_squared counts lines and fails before the fix.

--- a/meadowcross/workers/eviction.py
+++ b/meadowcross/workers/eviction.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from meadowcross.common.error_boundary import ErrorBoundary
-from meadowcross.common.types import Instant, Seconds
+from meadowcross.common.types import Instant, JobId, Seconds
 from meadowcross.estimates.estimators import RunTimeEstimator
 from meadowcross.estimates.samples import elapsed_run_s
 from meadowcross.jobs.job_table import Job, JobTable, Placement, PlacementPhase
@@ -53,10 +53,16 @@
         return []
     remaining_s = machine.reclaim_at - now
     evictions: dict[int, Eviction] = {}
+    planned_gangs: set[JobId] = set()
     for placement in machine.placements.values():
         job = job_table.jobs.get(placement.task.job)
         if job is None or placement.stop_requested_at is not None or placement.phase is not PlacementPhase.RUNNING:
             continue
+        if job.is_gang:
+            # One member's evictions are those of all members, however many of them are on the machine.
+            if job.id in planned_gangs:
+                continue
+            planned_gangs.add(job.id)
         with ErrorBoundary("planning evictions before a reclaim", job=job.id, machine=machine.id):
             for eviction in _plan_reclaim_evictions_of(job, placement, remaining_s, estimator, now):
                 evictions[id(eviction.placement)] = eviction
--- a/tests/workers/test_eviction.py
+++ b/tests/workers/test_eviction.py
@@ -11,6 +11,7 @@
 from meadowcross.jobs.messages import JobRecord, JobSpec
 from meadowcross.workers.eviction import overdue_cancellations, plan_drain_evictions, plan_reclaim_evictions
 from meadowcross.workers.machine import Machine
+from tests.support.step_counter import count_steps
 from tests.support.world import job
 
 NOW = Instant(100.0)
@@ -36,6 +37,19 @@
 ]
 
 
+def test_eviction_notice_for_a_large_gang_does_not_take_its_members_squared():
+    """Guards against a leader that loses its lease by listing all members anew for each member on the machine."""
+    member_count = 2_000
+    changes = {"breed": "group", "heads": member_count, "stookS": 10.0, "baleS": 4.0}
+    job_table, gang, machine = place_job(changes, PlacementPhase.RUNNING, 0.0)
+    machine.placements.update((placement.task, placement) for placement in gang.placements.values())
+    machine.reclaim_at = Instant(NOW + 60.0)
+    evictions = []
+    limit = 100 * member_count
+    count_steps(lambda: evictions.extend(plan_reclaim_evictions(machine, job_table, MeanRatioEstimator(), NOW)), limit)
+    assert [placement for placement, _ in evictions] == list(gang.placements.values())
+
+
 def place_job(changes, phase, running_at):
     """Return a job table, its only job, and the machine of the job's first task; other tasks are on other machines."""
     job_table = JobTable()
