A gang that does not fit is refused by counting, not by choosing machines

Cause: each pass, and preemption again, chose machines for the tasks one after the other until none was left.

Fix: an upper bound of the tasks that the machines can hold, by zone where the gang must be spread, is added up first.

Tests: test_gang_that_does_not_fit_is_refused_without_choosing_machines_for_its_tasks counts lines; its three cases fail before the fix. test_gang_is_placed_whenever_choosing_task_by_task_places_all_of_it compares drawn inputs.

The limit of tasks in one zone stood in two places and is one function now.

--- a/meadowcross/autoscaling/sizing.py
+++ b/meadowcross/autoscaling/sizing.py
@@ -16,7 +16,7 @@
 from meadowcross.common.error_boundary import ErrorBoundary
 from meadowcross.common.types import EPSILON, JobId, MachineKind, Seconds
 from meadowcross.jobs.messages import JobSpec
-from meadowcross.placement.model import TaskShape, count_slots, is_kind_allowed, task_shape
+from meadowcross.placement.model import TaskShape, count_slots, is_kind_allowed, max_tasks_per_zone, task_shape
 
 MIN_CHARGE_S: Seconds = 60.0
 """The cloud charges each machine for at least this time, even if it is deleted earlier."""
@@ -151,7 +151,7 @@
     The totals that become even include the job's tasks that count in a zone already. No zone gets more than half of all
     the job's tasks, rounded up.
     """
-    max_per_zone = (demand.spec.tasks + 1) // 2
+    max_per_zone = max_tasks_per_zone(demand.spec)
     placed_by_zone = demand.placed_by_zone
     rooms = {zone: max(0, max_per_zone - placed_by_zone.get(zone, 0)) for zone in slots_by_zone}
     count = min(demand.task_count, 2 * max_per_zone)
--- a/meadowcross/placement/constrained.py
+++ b/meadowcross/placement/constrained.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import NamedTuple
 
 from meadowcross.common.settings import OperatorSettings
-from meadowcross.common.types import MachineId
+from meadowcross.common.types import EPSILON, MachineId
 from meadowcross.jobs.messages import JobSpec
 from meadowcross.placement.greedy_selection import GreedySelection
-from meadowcross.placement.model import Candidate, PendingJob, has_sibling_traffic
+from meadowcross.placement.model import Candidate, PendingJob, count_slots, has_sibling_traffic, max_tasks_per_zone
 
 
 class _SelectionQuality(NamedTuple):
@@ -31,6 +32,8 @@
     best: list[MachineId] = []
     best_quality = _SelectionQuality(0, 0.0)
     for candidate_group in _split_by_allowed_zones(pending_job, candidates):
+        if has_sibling_traffic(spec) and not _may_hold(pending_job, candidate_group, count):
+            continue
         quality, machines = _select_greedily(pending_job, candidate_group, count, weights)
         if has_sibling_traffic(spec) and len(machines) < count:
             continue
@@ -55,6 +58,29 @@
     return [[candidate for candidate in candidates if candidate.kind.zone == zone] for zone in zones]
 
 
+def _may_hold(pending_job: PendingJob, candidate_group: list[Candidate], count: int) -> bool:
+    """Return False if the candidates certainly can't hold `count` more tasks of the job, which takes no selection."""
+    spec = pending_job.spec
+    slots_by_zone: Counter[str] = Counter()
+    for candidate in candidate_group:
+        slots_by_zone[candidate.kind.zone] += _max_slots(spec, candidate)
+    if spec.spread:
+        max_per_zone = max_tasks_per_zone(spec)
+        siblings_by_zone = pending_job.count_siblings_by_zone()
+        for zone in slots_by_zone:
+            slots_by_zone[zone] = min(slots_by_zone[zone], max(0, max_per_zone - siblings_by_zone[zone]))
+    return slots_by_zone.total() >= count
+
+
+def _max_slots(spec: JobSpec, candidate: Candidate) -> int:
+    """Return an upper bound of the tasks that fit: one more than the quotients, which covers their rounding errors."""
+    if not candidate.fits(spec):
+        return 0
+    return 1 + count_slots(
+        spec, candidate.free_cpus + EPSILON, candidate.free_gpus + EPSILON, candidate.free_memory_gb + EPSILON
+    )
+
+
 def _allocate_tasks(spec: JobSpec, machines: list[MachineId], candidates: list[Candidate]) -> None:
     by_machine = {candidate.machine: candidate for candidate in candidates}
     for machine in machines:
--- a/meadowcross/placement/greedy_selection.py
+++ b/meadowcross/placement/greedy_selection.py
@@ -13,7 +13,13 @@
 
 from meadowcross.common.settings import OperatorSettings
 from meadowcross.jobs.messages import JobKind
-from meadowcross.placement.model import UNBOUNDED_TASKS, Candidate, PendingJob, has_sibling_traffic
+from meadowcross.placement.model import (
+    UNBOUNDED_TASKS,
+    Candidate,
+    PendingJob,
+    has_sibling_traffic,
+    max_tasks_per_zone,
+)
 from meadowcross.placement.scoring import SLOW_FETCH_S, fetch_tier, grouped_network_term, resource_term
 
 OWN_FETCH_TIER = -1
@@ -124,8 +130,7 @@
         self._siblings = {machine: count for machine, (_, count) in pending_job.siblings.items()}
         self._count_by_zone: Counter[str] = pending_job.count_siblings_by_zone()
         self._sibling_count = self._count_by_zone.total()
-        # Half of all tasks of the job, rounded up, regardless of how many of them are placed.
-        self._max_per_zone = (spec.tasks + 1) // 2 if spec.spread else UNBOUNDED_TASKS
+        self._max_per_zone = max_tasks_per_zone(spec) if spec.spread else UNBOUNDED_TASKS
         self._groups: dict[_GroupKey, _MachineGroup] = {}
         for index, candidate in enumerate(candidates):
             tier = -fetch_tier(pending_job, candidate) if self._is_slow_fetch else 0
--- a/meadowcross/placement/model.py
+++ b/meadowcross/placement/model.py
@@ -175,6 +175,14 @@
     return spec.one_zone or spec.spread or has_sibling_traffic(spec)
 
 
+def max_tasks_per_zone(spec: JobSpec) -> int:
+    """Return how many tasks of a job that must be spread may be in one zone: half of all its tasks, rounded up.
+
+    It does not depend on how many of them are placed.
+    """
+    return (spec.tasks + 1) // 2
+
+
 def may_use_machine(pending_job: PendingJob, reservation: Reservation | None) -> bool:
     """Return whether the job may use a machine with this reservation; None means no reservation."""
     return reservation is None or reservation.job_id == pending_job.job_id or pending_job.rank < reservation.rank
--- a/tests/placement/test_greedy_selection.py
+++ b/tests/placement/test_greedy_selection.py
@@ -63,6 +63,17 @@
     count_steps(lambda: place_constrained(pending_job, machines, task_count, WEIGHTS), limit)
 
 
+@pytest.mark.parametrize("changes", [case[1] for case in CONSTRAINTS[:3]], ids=[case[0] for case in CONSTRAINTS[:3]])
+def test_gang_that_does_not_fit_is_refused_without_choosing_machines_for_its_tasks(changes):
+    """Guards against leaders that lose their leases as every pass tries gangs of thousands of tasks that don't fit."""
+    task_count, machine_count = 9_000, 240
+    pending_job = make_pending(task_count, cpus=1.9, memoryGb=0.0, **changes)
+    machines = make_machines(machine_count, 64.0)
+    count_steps(
+        lambda: place_constrained(pending_job, machines, task_count, WEIGHTS), STEPS_PER_MACHINE * machine_count
+    )
+
+
 AMOUNTS = st.sampled_from([0.1, 0.3, 0.5, 1.0, 2.0, 3.7])
 FREE_AMOUNTS = st.sampled_from([0.0, 0.1, 1.0, 2.0, 4.0, 4.0 - 4e-16, 4.0 + 9e-16, 7.3, 16.0])
 COSTS = st.sampled_from([0.0, 0.5, 1.0, 4.0, 1000.0])
@@ -78,10 +89,10 @@
     return Candidate(MachineId(f"i-{number}"), kind, free_cpus, 1.0, free_memory_gb, images, fetching)
 
 
-def draw_pending(data, candidates):
+def draw_pending(data, candidates, breeds=("batch", "group", "daemon")):
     pending_job = make_pending(
         data.draw(st.integers(1, 24)),
-        breed=data.draw(st.sampled_from(["batch", "group", "daemon"])),
+        breed=data.draw(st.sampled_from(breeds)),
         scatter=data.draw(st.booleans()),
         cpus=data.draw(AMOUNTS),
         memoryGb=data.draw(st.sampled_from([0.0, 0.1, 1.0])),
@@ -118,3 +129,15 @@
     while len(chosen) < count and (choice := selection.assign_next()) is not None:
         chosen.append(choice.candidate.machine)
     assert chosen == expected
+
+
+@settings(max_examples=EXAMPLES or 300, deadline=None, derandomize=not EXAMPLES, database=None)
+@given(data=st.data())
+def test_gang_is_placed_whenever_choosing_task_by_task_places_all_of_it(data):
+    """Guards against a gang that is refused by counting although all its tasks fit."""
+    candidates = [draw_candidate(data, number) for number in range(data.draw(st.integers(0, 12)))]
+    pending_job = draw_pending(data, candidates, ["group"])
+    count = pending_job.task_count
+    expected = select_one_by_one(pending_job, [replace(candidate) for candidate in candidates], count, WEIGHTS)
+    chosen = place_constrained(pending_job, candidates, count, WEIGHTS)
+    assert chosen == (expected if len(expected) == count else [])
