Adopting tasks of a large job after lost data derives the job's state once

What callers would see: after a loss of data, one heartbeat with 1,000 tasks of an array of 100,000 keeps the leader for 42 s of processor time (arm64, beside other work), and each further machine does it again.

Cause: each adopted task recomputed all waiting tasks of its job, and for a gang the attempt over all members.

Nothing reads them in between.

--- a/meadowcross/leadership/reconciler.py
+++ b/meadowcross/leadership/reconciler.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -57,6 +59,8 @@
         self._recovery = recovery
         self._queried_jobs: set[JobId] = set()
         """Unknown jobs that are being looked up in the store."""
+        self._jobs_with_adoptions: dict[JobId, Job] = {}
+        """Jobs whose waiting tasks and attempt have to be derived again."""
 
     def reconcile(self, machine: Machine) -> None:
         """Process the tasks in the machine's newest status that have no placement or have exited."""
@@ -70,6 +74,25 @@
 
         Tasks of an open job are recorded as placed or done. Tasks of an unknown job are neither stopped nor reaped
         until its user submits the job again, or the settling stage ends."""
+        with self._adopting():
+            self._adopt_orphans_of(machine)
+
+    @contextmanager
+    def _adopting(self) -> Iterator[None]:
+        """Derive the state of the jobs for which placements are adopted in the block at its end, once for each job.
+
+        That takes time by the tasks of the job: after each adopted task of a large job it held the reactor for
+        seconds."""
+        try:
+            yield
+        finally:
+            for job in self._jobs_with_adoptions.values():
+                self._job_table.rebuild_waiting(job)
+                if job.is_gang and job.placements:
+                    job.gang_attempt = max(p.attempt for p in job.placements.values())
+            self._jobs_with_adoptions.clear()
+
+    def _adopt_orphans_of(self, machine: Machine) -> None:
         stale, exited = machine.reported.stale, machine.reported.exited
         machine.reported.orphaned, machine.reported.stale, machine.reported.exited = [], [], []
         for task in (*stale, *exited):
@@ -84,10 +107,11 @@
     def on_job_resubmitted(self, job: Job) -> None:
         """Adopt the tasks that machines still have of a job that was submitted again while records may be lost."""
         job.attempts = [LOST_ATTEMPTS_MARGIN] * job.spec.tasks
-        for machine in self._worker_registry.machines.values():
-            if any(TaskId.parse(task.task).job == job.id for task in machine.reported.orphaned):
-                machine.reported.stale += machine.reported.orphaned
-                self.adopt_orphans(machine)
+        with self._adopting():
+            for machine in self._worker_registry.machines.values():
+                if any(TaskId.parse(task.task).job == job.id for task in machine.reported.orphaned):
+                    machine.reported.stale += machine.reported.orphaned
+                    self._adopt_orphans_of(machine)
 
     def _adopt_orphan(self, machine: Machine, job: Job, task_id: TaskId, reported: worker_messages.TaskReport) -> bool:
         """Record a reported task as placed or done, as its lost record did. Returns whether it is placed: False if its
@@ -122,9 +146,7 @@
     def _adopt_placement(self, machine: Machine, job: Job, task_id: TaskId, attempt: int) -> Placement:
         placement = self._job_table.adopt_placement(job, task_id.number, attempt, machine.id, self._context.now)
         job.attempts[task_id.number] = max(job.attempts[task_id.number], attempt)
-        self._job_table.rebuild_waiting(job)
-        if job.is_gang:
-            job.gang_attempt = max(p.attempt for p in job.placements.values())
+        self._jobs_with_adoptions[job.id] = job
         self._job_table.mark_dirty(job, task_id.number, True)
         log.info("adopted orphaned task task=%s attempt=%d machine=%s", task_id, attempt, machine.id)
         return placement
