A job whose placements can't be recorded does not use up every pass

Need: the limit of tasks in a pass turns the rule that an error of one job stops no other job: a large job whose recording raises each time would fill each pass, so that no job after it is considered.

Change: if a pass deferred jobs, the next one leaves out those whose recording failed, so that all others get their turn.

Test: test_large_job_that_cannot_be_recorded_does_not_use_up_every_pass fails before this commit (0 of 8 tasks run).

--- a/meadowcross/leadership/scheduling_loop.py
+++ b/meadowcross/leadership/scheduling_loop.py
@@ -65,6 +65,8 @@
         self._pass_trigger = pass_trigger
         self._has_deferred_jobs = False
         """Whether the last pass ended before it had considered all tasks."""
+        self._unrecorded_jobs: set[JobId] = set()
+        """Jobs that the next pass leaves out: their placements could not be recorded and used up the last pass."""
 
     def run_pass(self) -> None:
         """Place the tasks that can be placed now, and store the changes."""
@@ -92,6 +94,7 @@
         return failing_since is not None and self._context.now - failing_since > STORE_FAILURE_TOLERANCE_S
 
     def _place(self, pending_jobs: list[PendingJob], started_at: Instant) -> None:
+        pending_jobs = [pending_job for pending_job in pending_jobs if pending_job.job_id not in self._unrecorded_jobs]
         headroom_by_team = self._scheduling_view.quota_headroom()
         candidates = self._scheduling_view.candidates()
         decisions, deferred_jobs = place_at_most(
@@ -102,8 +105,9 @@
             self._context.operator_settings,
             reservations=self._preemption.reservations,
         )
-        self.apply_decisions(decisions)
+        unrecorded_jobs = self.apply_decisions(decisions)
         self._has_deferred_jobs = bool(deferred_jobs)
+        self._unrecorded_jobs = unrecorded_jobs if deferred_jobs else set()
         # Free machines may be left for a deferred job, so nothing is preempted for it yet.
         pending_jobs = [pending_job for pending_job in pending_jobs if pending_job.job_id not in deferred_jobs]
         placed_counts = {decision.job_id: len(decision.machines) for decision in decisions}
@@ -138,11 +142,18 @@
                 placements = [placement for placement in job.placements.values() if placement.machine == machine_id]
                 self._health.begin_trial(job, max(placements, key=lambda placement: placement.placed_at))
 
-    def apply_decisions(self, decisions: list[Decision]) -> None:
-        """Record the decided placements; each is stored before its start is sent."""
+    def apply_decisions(self, decisions: list[Decision]) -> set[JobId]:
+        """Record the decided placements; each is stored before its start is sent.
+
+        Returns the jobs for which an unexpected error was contained.
+        """
+        failed_jobs: set[JobId] = set()
         for decision in decisions:
-            with ErrorBoundary("recording placements", job=decision.job_id):
+            with ErrorBoundary("recording placements", job=decision.job_id) as boundary:
                 self._apply_decision(decision)
+            if boundary.has_failed:
+                failed_jobs.add(decision.job_id)
+        return failed_jobs
 
     def _apply_decision(self, decision: Decision) -> None:
         now = self._context.now
--- a/tests/leadership/test_error_isolation.py
+++ b/tests/leadership/test_error_isolation.py
@@ -84,6 +84,18 @@
     assert activity in contained_errors.activities()
 
 
+def test_large_job_that_cannot_be_recorded_does_not_use_up_every_pass(world, monkeypatch, contained_errors):
+    """Guards against a limit of tasks in a pass that one job's exception fills, so that no other job is considered."""
+    contained_errors.are_expected = True
+    monkeypatch.setattr("meadowcross.leadership.scheduling_loop.MAX_TASKS_PER_PASS", 3)
+    world.lead()
+    fail_for(monkeypatch, "meadowcross.leadership.scheduling_loop:SchedulingLoop._apply_decision", FAULTY_JOB)
+    world.submit(rank="critical", heads=20)
+    world.submit(id="wk-000002", heads=8)
+    world.pass_time(8.0)
+    assert len([task for task in world.running() if not task.startswith(FAULTY_JOB)]) == 8
+
+
 STEP_FAULTS = [
     # a step that fails each time, and the activity in which the error is contained
     ("meadowcross.leadership.maintenance_loop:LeadershipTransfer.transfer_if_better_reached", "transferring the leade"),
