Divide benchmarks.cost: the measurements of one number of machines have a module of their own

The measurements of one size are FleetMeasurement in fleet_cost.py, and what they share with job_cost.py, which stood twice, is simulated_fleet.py.

--- a/benchmarks/job_cost.py
+++ b/benchmarks/job_cost.py
@@ -12,14 +12,12 @@
 import sys
 from typing import Any
 
-from msgspec import to_builtins
-
 from benchmarks.meter import Meter
-from meadowcross.autoscaling.messages import MachineRecord
-from meadowcross.common.types import Address, WallTime
-from meadowcross.jobs.job_table import PlacementPhase
+from benchmarks.simulated_fleet import await_tokens, open_job_write, report_all, start_machine, stop_loops, store
+from meadowcross.common.types import Instant, JobId, MachineId, WallTime
+from meadowcross.jobs.job_table import Job, PlacementPhase
 from meadowcross.leadership.maintenance_loop import EvictionPlanner
-from meadowcross.workers.messages import decode_heartbeat, encode
+from meadowcross.leadership.term import LeaderTerm
 from tests.support.world import World, job
 
 ROW_TIMEOUT_S = 120.0
@@ -45,6 +43,7 @@
     "reclaim": "eviction notice of one machine",
     "cancel": "stopping all tasks",
 }
+ZONES = ["east", "west"]
 MACHINE_CPUS = 16.0
 FILLED_SHARE = 0.9
 """Share of all machines' CPUs that the placed job takes."""
@@ -56,58 +55,41 @@
 def _store_idle_machines(world: World, count: int) -> None:
     """Store the records of idle machines in two zones, and start their workers."""
     # The stand-ins offer the large type in one zone only; a spread needs it in both.
-    world.types[1].zones[:] = ["east", "west"]
-    world.state.txn_ops = 10**9
-    writes: list[dict[str, Any]] = []
-    for number in range(count):
-        name, zone = f"i-{number:06d}", ("east", "west")[number % 2]
-        machine = {"id": name, "build": "large", "field": zone, "stubble": True, "standing": "running", "ageS": 90.0}
-        machine["addr"] = f"{name}:9000"
-        world.cloud.machines[name] = machine
-        world.add_worker(machine)
-        record = MachineRecord("large", zone, True, WallTime(900.0), Address(f"{name}:9000"))
-        writes.append({"write": "w/" + name, "data": to_builtins(record)})
-    world.state.transact({"if": [], "writes": writes})
-    world.state.txn_ops = 24
+    world.types[1].zones[:] = ZONES
+    store(world, [start_machine(world, f"i-{number:06d}", ZONES[number % 2]) for number in range(count)])
     world.cloud.full = True
 
 
-def _lead(world: World) -> Any:
+def _lead(world: World) -> LeaderTerm:
     """Begin a term whose machines have all confirmed its token; its loops are stopped, so that steps run alone."""
     world.reporting = False
     term = world.lead()
-    for _ in range(400):
-        if all(machine.proof.has_confirmed_token for machine in term.worker_registry.machines.values()):
-            break
-        world.clock.advance(0.05)
-    term.maintenance_loop.stop()
-    term.autoscaler.stop()
+    await_tokens(world, term)
+    stop_loops(term)
     # Passes run only where they are measured; one that was scheduled before ends here.
     world.clock.advance(1.0)
     term.pass_trigger.set_runner(lambda: None)
-    for worker in world.workers.values():
-        term.handle_heartbeat(decode_heartbeat(encode(worker.report())))
+    report_all(term, list(world.workers.values()))
     return term
 
 
-def _accept(world: World, term: Any, meter: Meter, **changes: Any) -> tuple[Any, float]:
+def _accept(world: World, term: LeaderTerm, meter: Meter, **changes: Any) -> tuple[Job, float]:
     """Store a job and let the term read it; returns the job and the processor time."""
     spec = job(**changes)
-    record = {"spec": spec, "t": world.clock.seconds(), "k": 256}
-    world.state.transact({"if": [], "writes": [{"write": "j/" + spec["id"], "data": record}]})
+    world.state.transact({"if": [], "writes": [open_job_write(spec, world.clock.seconds())]})
 
     def read() -> None:
         for _ in range(4):
             world.clock.advance(0.05)
 
     elapsed_s = meter.measure(read)
-    return term.job_table.jobs[spec["id"]], elapsed_s
+    return term.job_table.jobs[JobId(spec["id"])], elapsed_s
 
 
-def _set_running(world: World, job: Any) -> None:
-    for placement in job.placements.values():
+def _set_running(world: World, placed_job: Job) -> None:
+    for placement in placed_job.placements.values():
         placement.phase = PlacementPhase.RUNNING
-        placement.running_at = world.clock.seconds() - RUNNING_FOR_S
+        placement.running_at = Instant(world.clock.seconds() - RUNNING_FOR_S)
 
 
 def measure(form: str, tasks: int, machines: int) -> dict[str, float]:
@@ -142,10 +124,10 @@
     seconds["next_pass"] = meter.measure(term.scheduling_loop.run_pass)
     seconds["forecast"] = meter.measure(lambda: term.forecast(placed_job.id))
     seconds["deschedule"] = meter.measure(term.scheduling_loop.deschedule_replicas)
-    term.worker_registry.machines["i-000000"].reclaim_at = world.clock.seconds() + 30.0
+    term.worker_registry.machines[MachineId("i-000000")].reclaim_at = Instant(world.clock.seconds() + 30.0)
     evictions = EvictionPlanner(term.state, term.placement_writer, term.autoscaler, term.estimators)
     seconds["reclaim"] = meter.measure(evictions.evict_reclaimed)
-    placed_job.cancelled_at = world.clock.seconds()
+    placed_job.cancelled_at = WallTime(world.clock.seconds())
     seconds["cancel"] = meter.measure(lambda: term.cancellation_tracker.stop_all_tasks(placed_job))
     return seconds
 
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -17,7 +17,7 @@
 import msgspec
 from msgspec import Struct, structs
 
-from benchmarks.cost import resident_mb
+from benchmarks.meter import resident_mb
 
 
 class Cost(Struct):
--- a/benchmarks/meter.py
+++ b/benchmarks/meter.py
@@ -1,4 +1,4 @@
-"""Measures processor time of the code under test without that of the simulated services."""
+"""Measures processor time of the code under test without that of the simulated services, and memory."""
 
 from __future__ import annotations
 
@@ -6,11 +6,19 @@
 from collections.abc import Callable
 from typing import Any
 
+from tests.support.world import World
+
+
+def resident_mb() -> float:
+    """Resident memory of this process in MB of 2**20 bytes."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * 4096 / 2**20
+
 
 class Meter:
     """Measures processor time without that of the simulated services."""
 
-    def __init__(self, world: Any) -> None:
+    def __init__(self, world: World) -> None:
         self.services_s = 0.0
         handlers = {host: self._timed(handle) for host, handle in world.net.hosts.items()}
         world.net.hosts.update(handlers)
